--- /dev/null
+++ b/hingepitch/admin/client.py
@@ -0,0 +1,117 @@
+"""
+hingepitch.admin.client
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The operators' API from outside: tries every replica, resends by id.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import json
+import time
+import uuid
+
+from geventhttpclient import HTTPClient
+
+from hingepitch.error import ERROR_BY_CODE, HingepitchError
+from hingepitch.setting import Address, Settings, parse_address
+
+__all__ = ["AdminClient", "AdminSettings"]
+
+TIMEOUT_SECONDS = 30.0
+PAUSE_SECONDS = 0.2
+GIVE_UP_SECONDS = 20.0
+
+#: Codes after which another replica is asked, with the same command id.
+PASSING_CODES = frozenset(
+    ("not_leader", "no_leader", "lost_leadership", "peer_failed", "queue_full")
+)
+
+
+class AdminSettings(Settings):
+    """Settings of `hingepitch-admin`.
+
+    `control`
+        `IP:port` of the HTTP of the control replicas.
+    `token`
+        The operator's token.
+    """
+
+    control: list[Address]
+    token: str
+
+
+class AdminClient:
+    """Calls the operators' API.
+
+    `settings`
+        An `AdminSettings`.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.preferred = 0
+
+    def call_at(self, address, method, path, body=None):
+        """Return the JSON answer of one replica; raise `HingepitchError`."""
+        host, port = parse_address(address)
+        headers = {
+            "Authorization": f"Bearer {self.settings.token}",
+            "Content-Type": "application/json",
+        }
+        data = json.dumps(body).encode() if body is not None else b""
+        client = HTTPClient(
+            host,
+            port,
+            connection_timeout=2.0,
+            network_timeout=TIMEOUT_SECONDS,
+        )
+        try:
+            response = client.request(method, path, body=data, headers=headers)
+            answer = json.loads(response.read())
+        except (OSError, ValueError) as error:
+            raise HingepitchError("peer_failed", f"{address}: {error!r}") from None
+        finally:
+            client.close()
+        if response.status_code >= 300:
+            raise to_error(answer)
+        return answer
+
+    def call(self, method, path, body=None):
+        """Return the answer of a replica that can give one.
+
+        A command may be sent many times: its id makes it count once.
+        """
+        deadline = time.monotonic() + GIVE_UP_SECONDS
+        while True:
+            addresses = self.settings.control
+            address = addresses[self.preferred % len(addresses)]
+            try:
+                return self.call_at(address, method, path, body)
+            except HingepitchError as error:
+                if error.code not in PASSING_CODES or time.monotonic() > deadline:
+                    raise
+            self.preferred += 1
+            time.sleep(PAUSE_SECONDS)
+
+    def command(self, base_version=-1, **fields):
+        """Send a command; return its outcome."""
+        body = {"id": uuid.uuid4().hex, "base_version": base_version, **fields}
+        return self.call("POST", "/v1/commands", body)
+
+    def wait_in_force(self, version, seconds=10.0):
+        """Wait until `version` is in force everywhere; return whether it is."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            if self.call("GET", f"/v1/in-force/{version}")["in_force"]:
+                return True
+            time.sleep(0.01)
+        return False
+
+
+def to_error(answer):
+    """Return the problem details of an answer as an exception."""
+    code = answer.get("code", "internal")
+    known = code if code in ERROR_BY_CODE else "internal"
+    return HingepitchError(known, answer.get("detail", ""))
--- /dev/null
+++ b/hingepitch/admin/program.py
@@ -0,0 +1,280 @@
+"""
+hingepitch.admin.program
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+The operators' command line.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import sys
+import time
+
+import yaml
+
+from hingepitch.admin.client import AdminClient, AdminSettings
+from hingepitch.admin.table import print_line, print_rows
+from hingepitch.cmdline import run_command
+from hingepitch.error import ExitCode, HingepitchError
+from hingepitch.setting import load_settings
+
+__all__ = ["main"]
+
+DEFAULT_SETTINGS = "hingepitch-admin.yaml"
+
+COLUMNS_BY_KIND = {
+    "vm": ("name", "partner", "pool", "hall", "rack", "life", "labels", "version"),
+    "service": ("name", "partner", "pool", "selector", "max_down", "repeatable"),
+    "claim": ("service", "key", "state", "entry", "at_seconds", "status"),
+    "job": ("name", "partner", "team", "pool", "state", "vm", "attempts"),
+}
+
+
+def open_client(settings):
+    """Return the client for a settings file."""
+    return AdminClient(load_settings(AdminSettings, settings))
+
+
+def apply(file: str, *, settings: str = DEFAULT_SETTINGS, wait: bool = False):
+    """Apply the objects of a YAML file, one command each.
+
+    :param file: YAML list of objects, each with its kind
+    :param settings: the settings file of this program
+    :param wait: wait until the changes are in force everywhere
+    """
+    client = open_client(settings)
+    with open(file, encoding="utf-8") as stream:
+        documents = yaml.safe_load(stream)
+    version = 0
+    for document in documents:
+        outcome = client.command(put=document)
+        version = max(version, outcome["version"])
+        print(f"{document['kind']} {document['name']}: version {outcome['version']}")
+    if wait:
+        return report_in_force(client, version)
+    return ExitCode.FINE
+
+
+def report_in_force(client, version):
+    """Wait until a version is in force; say so; return the exit code."""
+    if client.wait_in_force(version):
+        print(f"version {version} is in force everywhere")
+        return ExitCode.FINE
+    print(f"version {version} is not in force everywhere yet")
+    return ExitCode.FAILED
+
+
+def delete(kind: str, name: str, *, settings: str = DEFAULT_SETTINGS):
+    """Delete an object.
+
+    :param kind: vm, pool, service, team or campaign
+    :param name: its name
+    :param settings: the settings file of this program
+    """
+    outcome = open_client(settings).command(delete=[kind, name])
+    print(f"{kind} {name}: deleted at version {outcome['version']}")
+    return ExitCode.FINE
+
+
+def cancel(*names: str, settings: str = DEFAULT_SETTINGS):
+    """Cancel jobs, as one change.
+
+    :param names: names of the jobs
+    :param settings: the settings file of this program
+    """
+    outcome = open_client(settings).command(cancel=list(names))
+    print(f"cancelled at version {outcome['version']}")
+    return ExitCode.FINE
+
+
+def get(
+    kind: str, name: str = "", *, settings: str = DEFAULT_SETTINGS, json: bool = False
+):
+    """Show the objects of a kind, or one of them.
+
+    :param kind: vm, pool, service, team, campaign, permit, claim, job, entry
+    :param name: show this one only
+    :param settings: the settings file of this program
+    :param json: print JSON
+    """
+    client = open_client(settings)
+    if name:
+        rows = [client.call("GET", f"/v1/objects/{kind}/{name}")]
+    else:
+        rows = client.call("GET", f"/v1/objects/{kind}")
+    print_rows(rows, json, COLUMNS_BY_KIND.get(kind, ()))
+    return ExitCode.FINE
+
+
+def claims(*, settings: str = DEFAULT_SETTINGS, json: bool = False):
+    """Show the open claims: requests whose outcome nobody knows (yet).
+
+    :param settings: the settings file of this program
+    :param json: print JSON
+    """
+    rows = open_client(settings).call("GET", "/v1/objects/claim")
+    open_rows = [row for row in rows if row["state"] == "open"]
+    print_rows(open_rows, json, COLUMNS_BY_KIND["claim"])
+    return ExitCode.FINE
+
+
+def status(*, settings: str = DEFAULT_SETTINGS, json: bool = False):
+    """Show the replicas, and how many more losses the group stands.
+
+    :param settings: the settings file of this program
+    :param json: print JSON
+    """
+    client = open_client(settings)
+    rows = [replica_status(client, address) for address in client.settings.control]
+    columns = ("address", "name", "hall", "role", "term", "applied_index", "fault")
+    print_rows(rows, json, columns)
+    leaders = [row for row in rows if row.get("role") == "leader"]
+    if leaders and not json:
+        newest = max(leaders, key=lambda row: row["term"])
+        halls = ", ".join(newest["halls_that_may_go"]) or "none"
+        print(f"losses left: {newest['losses_left']}; halls that may go: {halls}")
+    return ExitCode.FINE if leaders else ExitCode.FAILED
+
+
+def replica_status(client, address):
+    """Return the status of one replica, or why there is none."""
+    try:
+        answer = client.call_at(address, "GET", "/status")
+    except HingepitchError as error:
+        return {"address": address, "fault": error.detail}
+    return {"address": address, "fault": answer["storage_fault"], **answer}
+
+
+def explain(kind: str, name: str, *, settings: str = DEFAULT_SETTINGS):
+    """Say why a job waits, or why a VM may not leave.
+
+    :param kind: job or vm
+    :param name: its name
+    :param settings: the settings file of this program
+    """
+    answer = open_client(settings).call("GET", f"/v1/explain/{kind}/{name}")
+    for obstacle in answer["obstacles"]:
+        print(obstacle)
+    if not answer["obstacles"]:
+        print(f"nothing holds {kind} {name} back")
+    return ExitCode.FINE
+
+
+def audit(
+    *,
+    partner: str = "",
+    operator: str = "",
+    name: str = "",
+    since_seconds: int = 0,
+    settings: str = DEFAULT_SETTINGS,
+    json: bool = False,
+):
+    """Show the audit trail: who changed what, when, before and after.
+
+    :param partner: only commands of this partner
+    :param operator: only commands of this operator
+    :param name: only commands on the object of this name
+    :param since_seconds: only commands since this time (epoch)
+    :param settings: the settings file of this program
+    :param json: print JSON
+    """
+    client = open_client(settings)
+    query = (
+        f"/v1/audit?partner={partner}&operator={operator}&name={name}"
+        f"&since_seconds={since_seconds}"
+    )
+    by_index = {}
+    for address in client.settings.control:
+        try:
+            rows = client.call_at(address, "GET", query)
+        except HingepitchError as error:
+            if error.code != "peer_failed":
+                raise
+            print(f"{address}: no answer", file=sys.stderr)
+            continue
+        by_index.update((row["index"], row) for row in rows)
+    rows = [by_index[index] for index in sorted(by_index)]
+    columns = ("index", "at_seconds", "partner", "operator", "command", "name", "code")
+    print_rows(rows, json, columns)
+    return ExitCode.FINE
+
+
+def watch(*, after: int = 0, changes: int = 0, settings: str = DEFAULT_SETTINGS):
+    """Print changes as they come, one JSON line each.
+
+    :param after: only changes after this version
+    :param changes: stop after so many changes; 0: never
+    :param settings: the settings file of this program
+    """
+    client = open_client(settings)
+    printed = 0
+    while True:
+        answer = client.call("GET", f"/v1/watch?after={after}")
+        after = max(after, answer["version"])
+        for change in answer["changes"]:
+            print_line(change)
+            printed += 1
+            if printed == changes:
+                return ExitCode.FINE
+        time.sleep(0.05)
+
+
+def members(
+    action: str = "show",
+    identity: str = "",
+    *,
+    name: str = "unnamed",
+    address: str = "127.0.0.1:1",
+    hall: str = "unknown",
+    settings: str = DEFAULT_SETTINGS,
+):
+    """Show or change the members of the control group.
+
+    :param action: show, add (as a learner), promote (to a voter), remove
+    :param identity: identity of the replica, as its /status shows it
+    :param name: with add: its name
+    :param address: with add: its rpc address
+    :param hall: with add: its hall
+    :param settings: the settings file of this program
+    """
+    client = open_client(settings)
+    if action != "show":
+        body = {
+            "action": action,
+            "identity": identity,
+            "name": name,
+            "address": address,
+            "hall": hall,
+        }
+        client.call("POST", "/v1/members", body)
+    answer = client.call("GET", "/v1/members")
+    print_rows(answer["members"])
+    return ExitCode.FINE
+
+
+COMMANDS = {
+    function.__name__: function
+    for function in (
+        apply,
+        delete,
+        cancel,
+        get,
+        claims,
+        status,
+        explain,
+        audit,
+        watch,
+        members,
+    )
+}
+
+
+def main():
+    """Entry point of `hingepitch-admin`."""
+    try:
+        run_command(COMMANDS, "hingepitch-admin")
+    except HingepitchError as error:
+        print(f"{error.code}: {error.detail}", file=sys.stderr)
+        bad = error.code == "bad_settings"
+        sys.exit(ExitCode.BAD_SETTINGS if bad else ExitCode.FAILED)
--- /dev/null
+++ b/hingepitch/app.py
@@ -0,0 +1,95 @@
+"""
+hingepitch.app
+~~~~~~~~~~~~~~
+
+The application object: life-cycle hooks, signals, exit code.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import signal
+import sys
+
+import gevent
+from gevent.event import Event
+
+from hingepitch import __version__
+from hingepitch.error import ExitCode, HingepitchError
+from hingepitch.log import configure_log, log_event
+from hingepitch.setting import load_settings
+from hingepitch.supervisor import Supervisor
+
+__all__ = ["Application", "run_daemon"]
+
+
+class Application:
+    """Base of every daemon.
+
+    Subclasses override `setup`, `start`, `drain` and `stop`; `run` calls
+    them in that order and returns the exit code.
+    """
+
+    #: Name of the program in its log lines.
+    program = ""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.exit_code = ExitCode.FINE
+        self.stopping = Event()
+        self.supervisor = Supervisor(self.give_up)
+
+    def setup(self):
+        """Make the parts; nothing runs yet."""
+
+    def start(self):
+        """Start the children under the supervisor."""
+
+    def drain(self):
+        """Take no new work and finish what is in flight."""
+
+    def stop(self):
+        """Release what `setup` took."""
+
+    def give_up(self, broken):
+        """Stop the process because a child failed too often."""
+        self.exit_code = ExitCode.BROKEN_INVARIANT if broken else ExitCode.FAILED
+        self.stopping.set()
+
+    def run(self):
+        """Run until a signal or a failure; return the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self.stopping.set)
+        try:
+            self.setup()
+            self.start()
+            log_event("started", name=self.settings.name, version=__version__)
+            self.stopping.wait()
+            if self.exit_code == ExitCode.FINE:
+                log_event("draining", name=self.settings.name)
+                self.drain()
+        except HingepitchError as error:
+            print(error, file=sys.stderr)
+            self.exit_code = ExitCode.FAILED
+        finally:
+            self.supervisor.stop()
+            self.stop()
+        log_event("stopped", name=self.settings.name, exit_code=self.exit_code)
+        return self.exit_code
+
+
+def run_daemon(application, model, settings_path, check):
+    """Load the settings and run `application`; return the exit code.
+
+    With `check`, only say whether the settings are valid.
+    """
+    try:
+        settings = load_settings(model, settings_path)
+    except HingepitchError as error:
+        print(error.detail, file=sys.stderr)
+        return ExitCode.BAD_SETTINGS
+    if check:
+        print(f"{settings_path}: fine")
+        return ExitCode.FINE
+    configure_log(application.program, settings.log_level)
+    return application(settings).run()
--- /dev/null
+++ b/hingepitch/control/__init__.py
@@ -0,0 +1,9 @@
+"""
+hingepitch.control
+~~~~~~~~~~~~~~~~~~
+
+The control part of hingepitch.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
--- /dev/null
+++ b/hingepitch/control/admission.py
@@ -0,0 +1,65 @@
+"""
+hingepitch.control.admission
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Admission of commands: bounded lanes, taken in turn.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from hingepitch.error import HingepitchError
+
+__all__ = ["Admission", "Waiting"]
+
+MAX_WAITING_IN_LANE = 2000
+RETRY_AFTER_MS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A command that waits for its place in the log."""
+
+    payload: bytes
+    result: object
+
+
+class Admission:
+    """Commands waiting for the log, one lane for each partner or role.
+
+    A lane that is full refuses at once; lanes are served in turn, so that
+    neither partner can starve the other.
+    """
+
+    def __init__(self, max_waiting=MAX_WAITING_IN_LANE):
+        self.max_waiting = max_waiting
+        self.lane_by_name = {}
+
+    def put(self, lane_name, waiting):
+        """Add a command to a lane; raise `queue_full`."""
+        lane = self.lane_by_name.setdefault(lane_name, deque())
+        if len(lane) >= self.max_waiting:
+            detail = f"{len(lane)} commands of {lane_name} wait"
+            raise HingepitchError("queue_full", detail, RETRY_AFTER_MS)
+        lane.append(waiting)
+
+    def take(self, limit):
+        """Return at most `limit` commands, from each lane in turn."""
+        taken = []
+        while len(taken) < limit:
+            lanes = [lane for lane in self.lane_by_name.values() if lane]
+            if not lanes:
+                break
+            for lane in lanes[: limit - len(taken)]:
+                taken.append(lane.popleft())
+        self.turn()
+        return taken
+
+    def turn(self):
+        """Let another lane be the first next time."""
+        if self.lane_by_name:
+            first = next(iter(self.lane_by_name))
+            self.lane_by_name[first] = self.lane_by_name.pop(first)
--- /dev/null
+++ b/hingepitch/control/memlog.py
@@ -0,0 +1,68 @@
+"""
+hingepitch.control.memlog
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The part of the log after the last snapshot, in memory.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+__all__ = ["MemoryLog"]
+
+
+class MemoryLog:
+    """Entries after `start_index`, which a snapshot covers.
+
+    `start_index`, `start_term`
+        Index and term of the last entry that is no more held.
+    """
+
+    def __init__(self, start_index=0, start_term=0, entries=()):
+        self.start_index = start_index
+        self.start_term = start_term
+        self.entries = list(entries)
+
+    @property
+    def last_index(self):
+        """Index of the last entry."""
+        return self.start_index + len(self.entries)
+
+    @property
+    def last_term(self):
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.start_term
+
+    def term_at(self, index):
+        """Return the term at `index`, or None where it is not known."""
+        if index == self.start_index:
+            return self.start_term
+        if self.start_index < index <= self.last_index:
+            return self.entries[index - self.start_index - 1].term
+        return None
+
+    def after(self, index, limit):
+        """Return at most `limit` entries after `index`."""
+        first = index - self.start_index
+        return self.entries[first : first + limit]
+
+    def append(self, entries):
+        """Add `entries`, dropping whatever stands from the first one on."""
+        keep = entries[0].index - self.start_index - 1
+        del self.entries[keep:]
+        self.entries.extend(entries)
+
+    def compact(self, index):
+        """Forget the entries up to `index`."""
+        if index <= self.start_index:
+            return
+        term = self.term_at(index)
+        del self.entries[: index - self.start_index]
+        self.start_index = index
+        self.start_term = term
+
+    def reset(self, index, term):
+        """Start anew after a snapshot at `index`."""
+        self.entries.clear()
+        self.start_index = index
+        self.start_term = term
--- /dev/null
+++ b/hingepitch/control/operator.py
@@ -0,0 +1,242 @@
+"""
+hingepitch.control.operator
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The operators' HTTP API of a control replica.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import hmac
+import json
+
+from pydantic import ValidationError
+
+from hingepitch.clock import lease_seconds
+from hingepitch.error import HingepitchError
+from hingepitch.httpd import make_api
+from hingepitch.model import explain
+from hingepitch.model.border import parse_object
+from hingepitch.model.codec import to_plain
+from hingepitch.model.command import CancelJobs, Delete, Envelope, Role
+from hingepitch.model.record import RECORD_BY_KIND
+from hingepitch.setting import Name, Settings, hash_token, validate_faults
+
+__all__ = ["Authenticator", "CommandForm", "OperatorApi"]
+
+MAX_BODY_BYTES = 1_000_000
+LONGEST_WAIT_SECONDS = 25.0
+AUDIT_ROWS = 1000
+
+
+class CommandForm(Settings):
+    """A command as an operator hands it in.
+
+    `id`
+        The same id names the same command, however often it is sent.
+    `put`, `delete`, `cancel`
+        One of them: an object with its kind; kind and name; names of jobs.
+    `base_version`
+        Version of the object that the operator saw; -1: any.
+    """
+
+    id: Name
+    put: dict | None = None
+    delete: tuple[str, str] | None = None
+    cancel: list[str] | None = None
+    base_version: int = -1
+
+    def to_command(self):
+        """Return the command; raise `bad_object`."""
+        given = [
+            value for value in (self.put, self.delete, self.cancel) if value is not None
+        ]
+        if len(given) != 1:
+            raise HingepitchError("bad_object", "expected put, delete or cancel")
+        if self.put is not None:
+            return parse_object(self.put)
+        if self.delete is not None:
+            return Delete(*self.delete)
+        return CancelJobs(self.cancel)
+
+
+class Authenticator:
+    """Knows the operators by their tokens.
+
+    `operators`
+        The `OperatorSettings`.
+    """
+
+    def __init__(self, operators):
+        self.operators = list(operators)
+
+    def operator(self, req):
+        """Return who sends `req`; raise `unauthenticated`."""
+        scheme, _, token = (req.get_header("Authorization") or "").partition(" ")
+        digest = hash_token(token)
+        found = None
+        for operator in self.operators:
+            if hmac.compare_digest(operator.token_sha256, digest):
+                found = operator
+        if scheme != "Bearer" or found is None:
+            raise HingepitchError("unauthenticated", "expected a bearer token")
+        return found
+
+
+def parse_json(req, model):
+    """Return the body of `req` as `model`; raise `bad_request`."""
+    if (req.content_length or 0) > MAX_BODY_BYTES:
+        raise HingepitchError("body_too_large")
+    try:
+        return model.model_validate(json.loads(req.bounded_stream.read()))
+    except ValidationError as error:
+        raise HingepitchError(
+            "bad_request", "\n".join(validate_faults(error))
+        ) from None
+    except ValueError as error:
+        raise HingepitchError("bad_request", str(error)) from None
+
+
+class OperatorApi:
+    """Resources under `/v1`.
+
+    `replica`, `roster`
+        The parts that the answers are about.
+    `group`
+        A `GroupClient`, to pass commands to the leader.
+    `authenticator`
+        Knows the operators.
+    `members`
+        A `hingepitch.control.member.MemberChanger`.
+    """
+
+    def __init__(self, replica, roster, group, authenticator, members):
+        self.replica = replica
+        self.roster = roster
+        self.group = group
+        self.authenticator = authenticator
+        self.members = members
+
+    def make(self):
+        """Return the falcon application."""
+        api = make_api()
+        api.add_route("/v1/commands", self, suffix="commands")
+        api.add_route("/v1/objects/{kind}", self, suffix="objects")
+        api.add_route("/v1/objects/{kind}/{name}", self, suffix="object")
+        api.add_route("/v1/explain/{kind}/{name}", self, suffix="explain")
+        api.add_route("/v1/audit", self, suffix="audit")
+        api.add_route("/v1/watch", self, suffix="watch")
+        api.add_route("/v1/in-force/{version:int}", self, suffix="in_force")
+        api.add_route("/v1/members", self, suffix="members")
+        return api
+
+    def confirm_state(self):
+        """Return the state once it is as new as the leader's."""
+        if self.replica.is_leader:
+            self.replica.confirm()
+        else:
+            index = self.group.call("read_index", seconds=5.0)
+            self.replica.wait_applied(index, 5.0)
+        return self.replica.state
+
+    def on_post_commands(self, req, resp):
+        """Take a command; answer its outcome."""
+        operator = self.authenticator.operator(req)
+        form = parse_json(req, CommandForm)
+        envelope = Envelope(
+            Role.OPERATOR,
+            operator.partner,
+            operator.name,
+            form.to_command(),
+            form.id,
+            form.base_version,
+        )
+        outcome = self.group.propose(envelope)
+        if not outcome.accepted:
+            raise HingepitchError(outcome.code, outcome.detail)
+        resp.media = {"version": outcome.version}
+
+    def on_get_objects(self, req, resp, kind):
+        """Answer all objects of a kind."""
+        self.authenticator.operator(req)
+        if kind not in RECORD_BY_KIND:
+            raise HingepitchError("unknown_object", f"no kind {kind}")
+        state = self.confirm_state()
+        resp.media = [plain_record(record) for record in state.by_kind[kind].values()]
+
+    def on_get_object(self, req, resp, kind, name):
+        """Answer one object."""
+        self.authenticator.operator(req)
+        record = self.confirm_state().by_kind.get(kind, {}).get(name)
+        if record is None:
+            raise HingepitchError("unknown_object", f"no {kind} {name}")
+        resp.media = plain_record(record)
+
+    def on_get_explain(self, req, resp, kind, name):
+        """Answer why a job waits or a VM may not leave."""
+        self.authenticator.operator(req)
+        resp.media = explain.explain(self.confirm_state(), kind, name)
+
+    def on_get_audit(self, req, resp):
+        """Answer the audit records that match the query."""
+        self.authenticator.operator(req)
+        records = self.replica.audit.read(
+            req.get_param("partner", default=""),
+            req.get_param("operator", default=""),
+            req.get_param("name", default=""),
+            req.get_param_as_int("since_seconds", default=0),
+        )
+        resp.media = [to_plain(record) for record in records][-AUDIT_ROWS:]
+
+    def on_get_watch(self, req, resp):
+        """Answer what changed after a version; waits a while for news."""
+        self.authenticator.operator(req)
+        after = req.get_param_as_int("after", default=0)
+        deadline = lease_seconds() + LONGEST_WAIT_SECONDS
+        state = self.replica.state
+        while state.feed_by_name["planning"].version <= after:
+            if not self.replica.wait_change(deadline - lease_seconds()):
+                break
+            state = self.replica.state
+        version, full, changes = state.changes_since("planning", after)
+        resp.media = {
+            "version": version,
+            "full": full,
+            "changes": [
+                {"kind": kind, "name": name, "object": plain_record(record)}
+                for kind, name, record in changes
+            ],
+        }
+
+    def on_get_in_force(self, req, resp, version):
+        """Answer whether a version is in force at every entry."""
+        self.authenticator.operator(req)
+        if not self.replica.is_leader:
+            raise HingepitchError("not_leader", retry_after_ms=100)
+        self.replica.confirm()
+        # Only changes that entries need to know are counted by their feed.
+        newest = self.replica.state.feed_by_name["routing"].version
+        entries = self.replica.state.by_kind["entry"]
+        in_force = self.roster.is_in_force(
+            entries, min(version, newest), lease_seconds()
+        )
+        resp.media = {"version": version, "in_force": in_force}
+
+    def on_get_members(self, req, resp):
+        """Answer the members of the group and how many losses it stands."""
+        self.authenticator.operator(req)
+        resp.media = self.members.status()
+
+    def on_post_members(self, req, resp):
+        """Add, promote or remove a member."""
+        self.authenticator.operator(req)
+        resp.media = self.members.change(parse_json(req, self.members.form))
+
+
+def plain_record(record):
+    """Return a record as plain values; bodies are not shown."""
+    plain = to_plain(record)
+    if plain is not None and "body" in plain:
+        plain["body"] = None
+    return plain
--- /dev/null
+++ b/hingepitch/control/peer.py
@@ -0,0 +1,128 @@
+"""
+hingepitch.control.peer
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Sending messages to the other replicas.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from collections import deque
+
+import gevent
+from gevent.event import Event
+
+from hingepitch.control.message import Entry, EntryKind, Message, MessageKind
+from hingepitch.error import HingepitchError
+from hingepitch.gen.control.ttypes import LogEntry, PeerMessage
+from hingepitch.log import log_event
+from hingepitch.rpc import ControlClient
+
+__all__ = ["PeerLinks", "from_wire", "to_wire"]
+
+MAX_QUEUED = 512
+CALL_SECONDS = 2.0
+PAUSE_AFTER_FAILURE_SECONDS = 0.2
+
+
+def to_wire(message):
+    """Return a `Message` as its thrift form."""
+    return PeerMessage(
+        kind=int(message.kind),
+        sender=message.sender,
+        receiver=message.receiver,
+        term=message.term,
+        index=message.index,
+        log_term=message.log_term,
+        commit=message.commit,
+        granted=message.granted,
+        sequence=message.sequence,
+        entries=[
+            LogEntry(entry.index, entry.term, int(entry.kind), entry.payload)
+            for entry in message.entries
+        ]
+        or None,
+        snapshot=message.snapshot or None,
+    )
+
+
+def from_wire(wire):
+    """Return the `Message` of its thrift form; raise `bad_request`."""
+    try:
+        return Message(
+            kind=MessageKind(wire.kind),
+            sender=wire.sender,
+            receiver=wire.receiver,
+            term=wire.term,
+            index=wire.index or 0,
+            log_term=wire.log_term or 0,
+            commit=wire.commit or 0,
+            granted=bool(wire.granted),
+            sequence=wire.sequence or 0,
+            entries=tuple(
+                Entry(entry.index, entry.term, EntryKind(entry.kind), entry.payload)
+                for entry in wire.entries or ()
+            ),
+            snapshot=wire.snapshot or b"",
+        )
+    except ValueError as error:
+        raise HingepitchError("bad_request", str(error)) from None
+
+
+class Link:
+    """The messages that wait for one replica."""
+
+    def __init__(self, client):
+        self.client = client
+        self.messages = deque(maxlen=MAX_QUEUED)
+        self.filled = Event()
+        self.reachable = True
+
+
+class PeerLinks:
+    """Sends messages to replicas by their addresses; lost ones stay lost.
+
+    `name`, `key`
+        For the authentication.
+    """
+
+    def __init__(self, name, key):
+        self.name = name
+        self.key = key
+        self.link_by_address = {}
+        self.messages_sent = 0
+
+    def send(self, address, message):
+        """Queue `message` for the replica at `address`."""
+        link = self.link_by_address.get(address)
+        if link is None:
+            client = ControlClient(address, self.name, self.key, CALL_SECONDS)
+            link = self.link_by_address[address] = Link(client)
+            gevent.spawn(self.keep_sending, link)
+        link.messages.append(message)
+        link.filled.set()
+
+    def keep_sending(self, link):
+        """Deliver what is queued, in batches, until killed."""
+        while True:
+            link.filled.wait()
+            link.filled.clear()
+            batch = list(link.messages)
+            link.messages.clear()
+            if batch:
+                self.deliver(link, batch)
+
+    def deliver(self, link, batch):
+        """Deliver one batch; on failure drop it and pause."""
+        try:
+            link.client.call("deliver", [to_wire(message) for message in batch])
+            self.messages_sent += len(batch)
+            link.reachable = True
+        except HingepitchError as error:
+            if link.reachable:
+                address = link.client.address
+                log_event("peer_unreachable", address=address, error=error.detail)
+            link.reachable = False
+            link.messages.clear()
+            gevent.sleep(PAUSE_AFTER_FAILURE_SECONDS)
--- /dev/null
+++ b/hingepitch/control/program.py
@@ -0,0 +1,171 @@
+"""
+hingepitch.control.program
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The control replica: composition root and command line.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from hingepitch.patch import patch_program
+
+patch_program()
+
+from hingepitch.app import Application, run_daemon
+from hingepitch.cmdline import run_command
+from hingepitch.control.audit import AuditTrail
+from hingepitch.control.handler import ControlHandler
+from hingepitch.control.member import MemberChanger
+from hingepitch.control.message import Member
+from hingepitch.control.operator import Authenticator, OperatorApi
+from hingepitch.control.peer import PeerLinks
+from hingepitch.control.replica import Replica
+from hingepitch.control.roster import Roster
+from hingepitch.control.settings import ControlSettings
+from hingepitch.control.storage import Storage, found_folder
+from hingepitch.error import ExitCode, HingepitchError
+from hingepitch.group import GroupClient
+from hingepitch.httpd import HttpServer, StatusResources, wait_until
+from hingepitch.metric import Metrics
+from hingepitch.rpc import RpcServer
+from hingepitch.setting import load_settings
+
+__all__ = ["Control", "main"]
+
+TRANSFER_SECONDS = 2.0
+
+
+class Control(Application):
+    """One replica of the control group, with all its parts."""
+
+    program = "control"
+
+    def setup(self):
+        """Wire the parts and recover the state."""
+        settings = self.settings
+        self.metrics = Metrics(self.program)
+        self.roster = Roster(settings.lease_seconds)
+        self.replica = Replica(
+            Storage(settings.data_folder, settings.name),
+            AuditTrail(settings.data_folder),
+            PeerLinks(settings.name, settings.shared_key),
+            self.roster,
+            self.address_of,
+            settings.seed,
+        )
+        self.replica.open()
+        handler = ControlHandler(self.replica, self.roster)
+        self.rpc = RpcServer(settings.rpc_address, handler, settings.shared_key)
+        group = GroupClient(
+            [settings.rpc_address, *(peer.address for peer in settings.peers)],
+            settings.name,
+            settings.shared_key,
+        )
+        self.members = MemberChanger(self.replica)
+        api = OperatorApi(
+            self.replica,
+            self.roster,
+            group,
+            Authenticator(settings.operators),
+            self.members,
+        ).make()
+        StatusResources(self.is_healthy, self.status, self.metrics).add_to(api)
+        self.http = HttpServer(settings.http_address, api)
+
+    def start(self):
+        """Start the children and the servers."""
+        self.supervisor.start("replica", self.replica.run)
+        self.supervisor.start("ticks", self.replica.tick)
+        self.rpc.start()
+        self.http.start()
+
+    def drain(self):
+        """Hand the leadership to another replica."""
+        if self.replica.is_leader:
+            self.replica.transfer()
+            wait_until(lambda: not self.replica.is_leader, TRANSFER_SECONDS)
+
+    def stop(self):
+        """Stop the servers and close the data folder."""
+        for name in ("http", "rpc"):
+            if hasattr(self, name):
+                getattr(self, name).stop()
+        if hasattr(self, "replica"):
+            self.replica.audit.close()
+            self.replica.storage.close()
+
+    def address_of(self, identity):
+        """Return the address of a replica, or None."""
+        for member in self.replica.core.members:
+            if member.identity == identity:
+                return member.address
+        name = identity.partition("~")[0]
+        for peer in self.settings.peers:
+            if peer.name == name:
+                return peer.address
+        return None
+
+    def is_healthy(self):
+        """Whether this replica knows a leader and can write."""
+        return bool(self.replica.core.leader) and not self.replica.storage_fault
+
+    def status(self):
+        """Return the status of this replica as plain values."""
+        replica = self.replica
+        now = replica.state.feed_by_name["routing"].version
+        entries = {
+            name: {
+                "confirmed_version": status.confirmed_version,
+                "in_flight_by_vm": status.in_flight_by_vm,
+            }
+            for name, status in self.roster.status_by_entry.items()
+        }
+        return {
+            "name": self.settings.name,
+            "hall": self.settings.hall,
+            **self.members.status(),
+            "version": replica.state.version,
+            "routing_version": now,
+            "applied_index": replica.applied_index,
+            "commit_index": replica.core.commit_index,
+            "snapshot_index": replica.storage.snapshot.index,
+            "commands_applied": replica.commands_applied,
+            "storage_fault": replica.storage_fault,
+            "entries": entries,
+        }
+
+
+def found(settings_path):
+    """Make the data folder of a founding member; return the exit code."""
+    try:
+        settings = load_settings(ControlSettings, settings_path)
+        members = tuple(
+            Member(peer.name, peer.name, peer.address, peer.hall)
+            for peer in settings.peers
+        )
+        found_folder(settings.data_folder, settings.name, members)
+    except HingepitchError as error:
+        print(error)
+        bad = error.code == "bad_settings"
+        return ExitCode.BAD_SETTINGS if bad else ExitCode.FAILED
+    print(f"{settings.data_folder}: founded as {settings.name}")
+    return ExitCode.FINE
+
+
+def run(*, settings: str, check: bool = False, init: bool = False):
+    """Run one replica of the control group.
+
+    :param settings: the settings file (YAML)
+    :param check: only say whether the settings are valid
+    :param init: make the data folder of a founding member, then exit; only
+        on the first day of the group, never to replace a lost disk
+    """
+    if init:
+        return found(settings)
+    return run_daemon(Control, ControlSettings, settings, check)
+
+
+def main():
+    """Entry point of `hingepitch-control`."""
+    run_command(run, "hingepitch-control")
--- /dev/null
+++ b/hingepitch/control/replica.py
@@ -0,0 +1,421 @@
+"""
+hingepitch.control.replica
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The driver of one replica: feeds the consensus core, makes its actions
+durable and real, applies what is committed.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from collections import deque
+from dataclasses import replace
+
+import gevent
+from gevent.event import AsyncResult, Event
+
+from hingepitch.clock import lease_seconds, wall_seconds
+from hingepitch.control.admission import Admission, Waiting
+from hingepitch.control.audit import AuditRecord
+from hingepitch.control.consensus import Consensus, encode_members
+from hingepitch.control.message import (
+    Append,
+    Commit,
+    Entry,
+    EntryKind,
+    Install,
+    Message,
+    MessageKind,
+    Propose,
+    Proposed,
+    ProposeMembers,
+    ReadReady,
+    ReadRequest,
+    Receive,
+    Refuse,
+    RoleChanged,
+    SaveVote,
+    Send,
+    SendSnapshot,
+    Tick,
+    Transfer,
+)
+from hingepitch.control.storage import Snapshot
+from hingepitch.error import HingepitchError
+from hingepitch.log import log_event
+from hingepitch.model.apply import apply, object_of
+from hingepitch.model.codec import decode_envelope, encode_envelope, to_plain
+from hingepitch.model.command import Role
+from hingepitch.model.state import State
+
+__all__ = ["Replica"]
+
+TICK_SECONDS = 0.05
+MAX_PROPOSALS_IN_STEP = 512
+PROPOSE_SECONDS = 4.0
+READ_SECONDS = 2.0
+
+#: Entries applied between two snapshots, and kept in memory behind one.
+SNAPSHOT_EVERY = 8192
+KEEP_BEHIND_SNAPSHOT = 2048
+
+
+class Replica:
+    """One replica of the control group.
+
+    `storage`, `audit`, `links`, `roster`
+        The parts it drives.
+    `address_of`
+        Function from an identity to its address, or None.
+    `seed`
+        Seed of the election timeouts.
+    """
+
+    def __init__(self, storage, audit, links, roster, address_of, seed):
+        self.storage = storage
+        self.audit = audit
+        self.links = links
+        self.roster = roster
+        self.address_of = address_of
+        self.seed = seed
+        self.core = None
+        self.state = State()
+        self.applied_index = 0
+        self.applied_term = 0
+        self.inbox = deque()
+        self.arrived = Event()
+        self.changed = Event()
+        self.admission = Admission()
+        self.waiter_by_index = {}
+        self.reads_waiting = []
+        self.commands_applied = 0
+        self.storage_fault = ""
+
+    # Life cycle.
+
+    def open(self):
+        """Recover from the data folder."""
+        recovered = self.storage.open()
+        self.audit.open()
+        self.core = Consensus(recovered, f"{self.seed}/{recovered.identity}")
+        self.load_snapshot(self.storage.snapshot)
+
+    def load_snapshot(self, snapshot):
+        """Take the state of `snapshot`."""
+        self.state = State.from_snapshot(snapshot.state) if snapshot.state else State()
+        self.applied_index = snapshot.index
+        self.applied_term = snapshot.term
+        self.wake_followers()
+
+    def run(self):
+        """Handle events until killed."""
+        while True:
+            self.arrived.wait()
+            self.arrived.clear()
+            try:
+                self.handle_events()
+            except HingepitchError as error:
+                if error.code != "storage_failed":
+                    raise
+                self.survive_storage_fault(error)
+
+    def tick(self):
+        """Give the core its ticks until killed."""
+        while True:
+            gevent.sleep(TICK_SECONDS)
+            self.put(Tick())
+
+    def survive_storage_fault(self, error):
+        """Start anew from the disk, which has everything acknowledged."""
+        log_event("storage_failed", error=error.detail)
+        self.storage_fault = error.detail
+        self.fail_waiters("storage_failed")
+        self.inbox.clear()
+        gevent.sleep(1.0)
+        self.storage.close()
+        self.storage = type(self.storage)(self.storage.folder, self.storage.name)
+        self.audit.close()
+        self.open()
+
+    def put(self, event):
+        """Queue an event for the core."""
+        self.inbox.append(event)
+        self.arrived.set()
+
+    # Requests of the other parts of this process.
+
+    @property
+    def is_leader(self):
+        """Whether this replica leads, as far as it knows."""
+        return self.core.role == "leader"
+
+    def leader_address(self):
+        """Return the address of the leader, or raise `no_leader`."""
+        address = self.address_of(self.core.leader) if self.core.leader else None
+        if address is None:
+            raise HingepitchError("no_leader", "", retry_after_ms=1000)
+        return address
+
+    def propose(self, envelope):
+        """Put a command into the log; return its `Outcome`.
+
+        Raises `HingepitchError`: `not_leader`, `queue_full`,
+        `storage_failed`, or `lost_leadership` when the outcome is unknown.
+        """
+        if not self.is_leader:
+            raise HingepitchError("not_leader", retry_after_ms=200)
+        stamped = replace(envelope, at_seconds=wall_seconds())
+        result = AsyncResult()
+        lane = envelope.partner or envelope.role.value
+        self.admission.put(lane, Waiting(encode_envelope(stamped), result))
+        self.arrived.set()
+        return self.wait_for(result, PROPOSE_SECONDS)
+
+    def change_members(self, members):
+        """Change the members; return once that is committed."""
+        result = AsyncResult()
+        self.put(ProposeMembers(members, result))
+        return self.wait_for(result, PROPOSE_SECONDS)
+
+    def confirm(self):
+        """Return once this replica is known to lead, and has applied all.
+
+        What was accepted before the call is then in `state`. Raises
+        `HingepitchError` (`not_leader`).
+        """
+        result = AsyncResult()
+        self.reads_waiting.append(result)
+        self.arrived.set()
+        index = self.wait_for(result, READ_SECONDS)
+        self.wait_applied(index, READ_SECONDS)
+        return index
+
+    def wait_for(self, result, seconds):
+        """Return the value of `result`; raise `lost_leadership` on time-out."""
+        try:
+            return result.get(timeout=seconds)
+        except gevent.Timeout:
+            raise HingepitchError("lost_leadership", "no quorum in time") from None
+
+    def wait_applied(self, index, seconds):
+        """Return once `index` is applied; raise `lost_leadership`."""
+        deadline = lease_seconds() + seconds
+        while self.applied_index < index:
+            if not self.wait_change(deadline - lease_seconds()):
+                raise HingepitchError("lost_leadership", "not applied in time")
+
+    def wait_change(self, seconds):
+        """Wait for a change of the state; return whether there was one."""
+        return seconds > 0 and self.changed.wait(seconds)
+
+    def wake_followers(self):
+        """Wake everyone who waits for a change."""
+        self.changed.set()
+        self.changed = Event()
+
+    def transfer(self):
+        """Hand the leadership to another replica, for a planned stop."""
+        self.put(Transfer())
+
+    # The loop.
+
+    def handle_events(self):
+        """Step the core with everything that waits, then act once."""
+        actions = []
+        while self.inbox:
+            event = self.inbox.popleft()
+            actions += self.core.step(event)
+        waiting = self.admission.take(MAX_PROPOSALS_IN_STEP)
+        if waiting:
+            payloads = [command.payload for command in waiting]
+            results = [command.result for command in waiting]
+            actions += self.core.step(Propose(payloads, results))
+            self.arrived.set()
+        if self.reads_waiting:
+            reads, self.reads_waiting = self.reads_waiting, []
+            actions += self.core.step(ReadRequest(reads))
+        self.carry_out(actions)
+        self.snapshot_if_due()
+
+    def carry_out(self, actions):
+        """Make what must be durable durable, then do the rest in order."""
+        self.make_durable(actions)
+        for action in actions:
+            self.act(action)
+
+    def make_durable(self, actions):
+        """Write the votes and entries of `actions` in one sync."""
+        vote = None
+        entries = []
+        for action in actions:
+            if isinstance(action, SaveVote):
+                vote = (action.term, action.voted_for)
+            elif isinstance(action, Append):
+                entries += action.entries
+            elif isinstance(action, Install):
+                self.write(vote, entries)
+                vote, entries = None, []
+                self.install(action)
+        self.write(vote, entries)
+
+    def write(self, vote, entries):
+        """Write a vote and entries, if there are any."""
+        if vote is not None or entries:
+            self.storage.write(vote, entries)
+            self.storage_fault = ""
+
+    def act(self, action):
+        """Carry out one action that needs no disk."""
+        if isinstance(action, Send):
+            self.send(action.message)
+        elif isinstance(action, SendSnapshot):
+            self.send_snapshot(action)
+        elif isinstance(action, Commit):
+            self.apply_up_to(action.index)
+        elif isinstance(action, Proposed):
+            self.expect(action)
+        elif isinstance(action, ReadReady):
+            for result in action.token:
+                result.set(action.index)
+        elif isinstance(action, Refuse):
+            self.refuse(action)
+        elif isinstance(action, RoleChanged):
+            self.note_role(action)
+
+    def send(self, message):
+        """Send a message to another replica, if its address is known."""
+        address = self.address_of(message.receiver)
+        if address is not None:
+            self.links.send(address, message)
+
+    def expect(self, action):
+        """Remember who waits for the entry at an index."""
+        self.waiter_by_index[action.index] = (action.term, action.token)
+
+    def refuse(self, action):
+        """Tell the waiters of a refused request."""
+        tokens = action.token if isinstance(action.token, list) else [action.token]
+        for result in tokens:
+            result.set_exception(HingepitchError(action.code, retry_after_ms=200))
+
+    def note_role(self, action):
+        """Log a change of role, and take over the leases when leading."""
+        log_event(
+            "role_changed", role=action.role, leader=action.leader, term=action.term
+        )
+        if action.role == "leader":
+            self.roster.take_over(lease_seconds())
+
+    def fail_waiters(self, code):
+        """Tell everyone who waits for an entry that it may be lost."""
+        for _, result in self.waiter_by_index.values():
+            result.set_exception(HingepitchError("lost_leadership", code))
+        self.waiter_by_index.clear()
+
+    # Applying.
+
+    def apply_up_to(self, index):
+        """Apply the committed entries up to `index`."""
+        count = index - self.applied_index
+        for entry in self.core.log.after(self.applied_index, count):
+            self.apply_entry(entry)
+        self.wake_followers()
+
+    def apply_entry(self, entry):
+        """Apply one entry and tell who waits for it."""
+        outcome = None
+        if entry.kind is EntryKind.COMMAND:
+            outcome = self.apply_command(entry)
+        self.applied_index = entry.index
+        self.applied_term = entry.term
+        term, result = self.waiter_by_index.pop(entry.index, (0, None))
+        if result is None:
+            return
+        if term == entry.term:
+            result.set(outcome)
+        else:
+            result.set_exception(HingepitchError("lost_leadership", "overwritten"))
+
+    def apply_command(self, entry):
+        """Apply a command; add it to the audit trail if an operator's."""
+        envelope = decode_envelope(entry.payload)
+        kind, name = object_of(envelope.command)
+        before = self.state.get(kind, name) if kind else None
+        outcome = apply(self.state, envelope, entry.index)
+        self.commands_applied += 1
+        if envelope.role is Role.OPERATOR:
+            after = self.state.get(kind, name) if kind else None
+            self.audit.add(
+                AuditRecord(
+                    index=entry.index,
+                    at_seconds=envelope.at_seconds,
+                    partner=envelope.partner,
+                    operator=envelope.actor,
+                    command=type(envelope.command).__name__,
+                    kind=kind,
+                    name=name,
+                    command_id=envelope.command_id,
+                    code=outcome.code,
+                    before=to_plain(before),
+                    after=to_plain(after),
+                )
+            )
+        return outcome
+
+    # Snapshots.
+
+    def snapshot_if_due(self):
+        """Write a snapshot when enough entries were applied."""
+        if self.applied_index - self.storage.snapshot.index < SNAPSHOT_EVERY:
+            return
+        self.audit.sync()
+        self.storage.save_snapshot(self.make_snapshot())
+        self.storage.rotate()
+        self.core.compact(self.applied_index - KEEP_BEHIND_SNAPSHOT)
+        log_event("snapshot_written", index=self.applied_index)
+
+    def make_snapshot(self):
+        """Return the present state as a `Snapshot`."""
+        return Snapshot(
+            index=self.applied_index,
+            term=self.applied_term,
+            members=self.core.members_at(self.applied_index),
+            state=self.state.to_snapshot(),
+        )
+
+    def send_snapshot(self, action):
+        """Send the present state to a follower that is too far behind."""
+        snapshot = self.make_snapshot()
+        members = Entry(
+            snapshot.index,
+            snapshot.term,
+            EntryKind.MEMBERS,
+            encode_members(snapshot.members),
+        )
+        self.send(
+            Message(
+                MessageKind.SNAPSHOT,
+                self.core.identity,
+                action.receiver,
+                action.term,
+                index=snapshot.index,
+                log_term=snapshot.term,
+                entries=(members,),
+                snapshot=snapshot.state,
+            )
+        )
+
+    def install(self, action):
+        """Replace the state by the snapshot of the leader."""
+        snapshot = Snapshot(
+            action.index, action.term, self.core.members, action.snapshot
+        )
+        self.storage.save_snapshot(snapshot, void_log=True)
+        self.storage.rotate()
+        self.load_snapshot(snapshot)
+        log_event("snapshot_installed", index=action.index)
+
+    def receive(self, message):
+        """Take a message of another replica."""
+        self.put(Receive(message))
--- /dev/null
+++ b/hingepitch/entry/__init__.py
@@ -0,0 +1,9 @@
+"""
+hingepitch.entry
+~~~~~~~~~~~~~~~~
+
+The entry part of hingepitch.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
--- /dev/null
+++ b/hingepitch/entry/settings.py
@@ -0,0 +1,37 @@
+"""
+hingepitch.entry.settings
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Settings of an entry.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from typing import Annotated
+
+from pydantic import Field
+
+from hingepitch.setting import Address, DaemonSettings
+
+__all__ = ["EntrySettings"]
+
+
+class EntrySettings(DaemonSettings):
+    """Settings of `hingepitch-entry`.
+
+    `control`
+        `IP:port` of the control replicas.
+    `connections`
+        Callers' connections at once. Default: 2000.
+    `drain_seconds`
+        How long a stopping entry still serves after its health check
+        fails, so that the balancer can leave it. Default: 2.
+    `seed`
+        Seed of the choice of minions. Default: 0.
+    """
+
+    control: Annotated[list[Address], Field(min_length=1)]
+    connections: Annotated[int, Field(ge=1, le=100_000)] = 2000
+    drain_seconds: Annotated[float, Field(ge=0, le=120)] = 2.0
+    seed: int = 0
--- /dev/null
+++ b/hingepitch/gen/control/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Control']
--- /dev/null
+++ b/hingepitch/group.py
@@ -0,0 +1,121 @@
+"""
+hingepitch.group
+~~~~~~~~~~~~~~~~
+
+Calls to the control group from outside: finds the leader, tries again.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import gevent
+
+from hingepitch.clock import lease_seconds
+from hingepitch.error import HingepitchError
+from hingepitch.model.codec import decode_outcome, encode_envelope
+from hingepitch.rpc import ControlClient
+
+__all__ = ["GroupClient"]
+
+PAUSE_SECONDS = 0.05
+
+#: Codes after which another replica may be asked the same thing.
+PASSING_CODES = frozenset({"not_leader", "no_leader", "peer_failed", "storage_failed"})
+
+
+class GroupClient:
+    """Calls methods of the leader of the control group.
+
+    `addresses`
+        `IP:port` of the replicas.
+    `name`, `key`
+        For the authentication.
+    `timeout_seconds`
+        Longest wait for one answer of one replica.
+    `connections`
+        Calls at once to each replica.
+    """
+
+    def __init__(self, addresses, name, key, timeout_seconds=5.0, connections=4):
+        self.addresses = list(addresses)
+        self.name = name
+        self.key = key
+        self.timeout_seconds = timeout_seconds
+        self.connections = connections
+        self.clients_by_address = {}
+        self.turn = 0
+        self.preferred = self.addresses[0]
+
+    def client(self, address):
+        """Return a free connection to `address`, or the next in turn."""
+        clients = self.clients_by_address.setdefault(address, [])
+        for client in clients:
+            if not client.lock.locked():
+                return client
+        if len(clients) < self.connections:
+            fresh = ControlClient(address, self.name, self.key, self.timeout_seconds)
+            clients.append(fresh)
+            return fresh
+        self.turn += 1
+        return clients[self.turn % len(clients)]
+
+    def call_once(self, method, *arguments):
+        """Call the replica that led last; learn who leads if it does not."""
+        address = self.preferred
+        try:
+            return self.client(address).call(method, *arguments)
+        except HingepitchError as error:
+            if error.code in PASSING_CODES:
+                self.prefer_another(address, getattr(error, "leader", ""))
+            raise
+
+    def prefer_another(self, address, leader):
+        """Ask the leader next time, or the next replica."""
+        if self.preferred != address:
+            return
+        if leader:
+            self.preferred = leader
+            return
+        known = self.addresses
+        position = known.index(address) if address in known else -1
+        self.preferred = known[(position + 1) % len(known)]
+
+    def call(self, method, *arguments, seconds=10.0):
+        """Call the leader; try again while the refusal may pass.
+
+        Only for calls that may be repeated. Raises the last
+        `HingepitchError` after `seconds`.
+        """
+        deadline = lease_seconds() + seconds
+        while True:
+            try:
+                return self.call_once(method, *arguments)
+            except HingepitchError as error:
+                if error.code not in PASSING_CODES or lease_seconds() > deadline:
+                    raise
+            gevent.sleep(PAUSE_SECONDS)
+
+    def propose(self, envelope, seconds=10.0):
+        """Put a command into the log; return its `Outcome`.
+
+        With a command id, the command is resent until there is an answer;
+        without one, only refusals that came before the log are tried again.
+        """
+        deadline = lease_seconds() + seconds
+        while True:
+            try:
+                return decode_outcome(
+                    self.call_once("propose", encode_envelope(envelope))
+                )
+            except HingepitchError as error:
+                if not may_resend(envelope, error) or lease_seconds() > deadline:
+                    raise
+            gevent.sleep(PAUSE_SECONDS)
+
+
+def may_resend(envelope, error):
+    """Whether a command may be sent again after `error`."""
+    if error.code in ("not_leader", "no_leader"):
+        return True
+    unknown = error.code in ("peer_failed", "lost_leadership", "storage_failed")
+    return unknown and bool(envelope.command_id)
--- /dev/null
+++ b/hingepitch/httpd.py
@@ -0,0 +1,291 @@
+"""
+hingepitch.httpd
+~~~~~~~~~~~~~~~~
+
+The HTTP server of the daemons: strict framing, no delayed small
+writes.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import re
+import socket
+from io import BytesIO
+
+import falcon
+import gevent
+import msgspec
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from hingepitch.error import ERROR_BY_CODE, HingepitchError
+from hingepitch.log import log_event
+from hingepitch.setting import parse_address
+
+__all__ = [
+    "HttpServer",
+    "StatusResources",
+    "check_framing",
+    "make_api",
+    "problem_of",
+    "set_problem",
+    "split_header_block",
+    "wait_until",
+]
+
+MAX_REQUEST_LINE_BYTES = 8192
+MAX_HEADER_BYTES = 65_536
+IDLE_SECONDS = 65.0
+
+HEADER_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n\0]*)\r\n\Z")
+LENGTH_VALUE = re.compile(rb"[0-9]{1,18}\Z")
+
+
+class FramingError(ValueError):
+    """A message whose end is not certain; `code` is of the table."""
+
+    def __init__(self, detail, code="bad_framing"):
+        super().__init__(detail)
+        self.code = code
+
+
+def split_header_block(lines):
+    """Yield `(lower-case name, value)` of raw header lines.
+
+    Raises `FramingError` for a folded line, a bare line feed, a space
+    before the colon and whatever else is not a header line.
+    """
+    for line in lines:
+        match = HEADER_LINE.match(line)
+        if match is None:
+            raise FramingError(f"not a header line: {line[:64]!r}")
+        yield match.group(1).lower(), match.group(2).strip(b" \t")
+
+
+def check_framing(pairs):
+    """Raise `FramingError` unless the headers give one certain length."""
+    lengths = [value for name, value in pairs if name == b"content-length"]
+    encodings = [value for name, value in pairs if name == b"transfer-encoding"]
+    if len(lengths) > 1 or len(encodings) > 1:
+        raise FramingError("more than one length")
+    if lengths and encodings:
+        raise FramingError("a length and an encoding")
+    if lengths and not LENGTH_VALUE.match(lengths[0]):
+        raise FramingError("not a length")
+    if encodings and encodings[0].lower() != b"chunked":
+        raise FramingError("unknown encoding")
+
+
+class StrictHandler(WSGIHandler):
+    """Handler that refuses ambiguous framing and closes the connection."""
+
+    def read_requestline(self):
+        """Read the request line; it must end with CR LF and be short."""
+        line = self.rfile.readline(MAX_REQUEST_LINE_BYTES + 1)
+        if line and not line.endswith(b"\r\n"):
+            self.bad_line = FramingError("bad request line")
+            return "BAD / HTTP/1.1\r\n"
+        self.bad_line = None
+        return line.decode("latin-1")
+
+    def MessageClass(self, rfile, seekable):  # noqa: N802
+        """Read and check the header lines; return them parsed."""
+        if self.bad_line is not None:
+            raise self.bad_line
+        lines = list(self.read_header_lines(rfile))
+        check_framing(list(split_header_block(lines)))
+        return super().MessageClass(BytesIO(b"".join(lines) + b"\r\n"), seekable)
+
+    def get_environ(self):
+        """Return the WSGI environment, with the path as it came."""
+        environ = super().get_environ()
+        environ["RAW_PATH"] = self.path.partition("?")[0]
+        return environ
+
+    def read_header_lines(self, rfile):
+        """Yield the raw header lines; raise `FramingError` over the limit."""
+        left = MAX_HEADER_BYTES
+        while True:
+            line = rfile.readline(left + 1)
+            left -= len(line)
+            if left < 0:
+                raise FramingError("headers over the limit", "header_too_large")
+            if line == b"\r\n":
+                return
+            if not line.endswith(b"\r\n"):
+                raise FramingError("a header line without its end")
+            yield line
+
+    def _handle_client_error(self, ex):
+        code = getattr(ex, "code", "bad_request")
+        log_event("bad_request", peer=self.client_address[0], code=code, error=ex)
+        body = problem_of(HingepitchError(code, str(ex)), run="not_run")
+        return str(ERROR_BY_CODE[code].status), render_raw(code, body)
+
+    def log_error(self, msg, *args):
+        """Log the message as an event."""
+        log_event("bad_request", error=msg % args if args else msg)
+
+
+def render_raw(code, body):
+    """Return a whole HTTP answer with the problem details `body`."""
+    data = msgspec.json.encode(body)
+    kind = ERROR_BY_CODE[code]
+    head = (
+        f"HTTP/1.1 {kind.status} {kind.title}\r\n"
+        "Content-Type: application/problem+json\r\n"
+        f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode("latin-1") + data
+
+
+def problem_of(error, run=None):
+    """Return problem details (RFC 9457) for a `HingepitchError`.
+
+    `run`
+        `not_run` or `unknown`, for answers to callers' requests.
+    """
+    problem = {
+        "type": f"urn:hingepitch:{error.code}",
+        "title": ERROR_BY_CODE[error.code].title,
+        "status": error.status,
+        "code": error.code,
+        "detail": error.detail,
+    }
+    if run is not None:
+        problem["run"] = run
+    if error.retry_after_ms is not None:
+        problem["retry_after_ms"] = error.retry_after_ms
+    return problem
+
+
+def set_problem(resp, error, run=None):
+    """Make `resp` the answer for a `HingepitchError`."""
+    resp.status = error.status
+    resp.content_type = "application/problem+json"
+    resp.data = msgspec.json.encode(problem_of(error, run))
+    if error.retry_after_ms is not None:
+        resp.set_header("Retry-After", str(-(-error.retry_after_ms // 1000)))
+
+
+def handle_error(req, resp, error, params):
+    """Answer a `HingepitchError` that a resource raised."""
+    set_problem(resp, error)
+
+
+def handle_unexpected(req, resp, error, params):
+    """Answer an exception that nobody expected, and log it."""
+    log_event("child_failed", child="http", error=repr(error))
+    set_problem(resp, HingepitchError("internal"))
+
+
+class StatusResources:
+    """`/healthz`, `/metrics` and `/status` of a daemon.
+
+    `is_healthy`
+        Function: whether the daemon should get traffic.
+    `status`
+        Function: the status as plain values.
+    `metrics`
+        A `hingepitch.metric.Metrics`.
+    """
+
+    def __init__(self, is_healthy, status, metrics):
+        self.is_healthy = is_healthy
+        self.status = status
+        self.metrics = metrics
+
+    def on_get_health(self, req, resp):
+        """Answer 200 if the daemon should get traffic, else 503."""
+        healthy = self.is_healthy()
+        resp.status = 200 if healthy else 503
+        resp.media = {"healthy": healthy}
+
+    def on_get_metrics(self, req, resp):
+        """Answer the metrics in the Prometheus text format."""
+        resp.data, resp.content_type = self.metrics.render()
+
+    def on_get_status(self, req, resp):
+        """Answer the status as JSON."""
+        resp.media = self.status()
+
+    def add_to(self, api):
+        """Add the routes to a falcon application."""
+        api.add_route("/healthz", self, suffix="health")
+        api.add_route("/metrics", self, suffix="metrics")
+        api.add_route("/status", self, suffix="status")
+
+
+def make_api():
+    """Return a falcon application with the error handling of all daemons."""
+    api = falcon.App()
+    api.add_error_handler(Exception, handle_unexpected)
+    api.add_error_handler(HingepitchError, handle_error)
+    api.add_error_handler(falcon.HTTPError, handle_http_error)
+    api.add_error_handler(falcon.HTTPStatus, handle_http_status)
+    return api
+
+
+def handle_http_error(req, resp, error, params):
+    """Answer an error of falcon as problem details."""
+    code = "unknown_object" if error.status_code == 404 else "bad_request"
+    set_problem(resp, HingepitchError(code, error.title or ""))
+    resp.status = error.status
+
+
+def handle_http_status(req, resp, error, params):
+    """Answer a status raised on purpose."""
+    resp.status = error.status
+    resp.text = error.text
+
+
+class HttpServer:
+    """Serves a WSGI application.
+
+    `address`
+        `IP:port` to listen at.
+    `connections`
+        Connections at once; further ones wait to be accepted.
+    """
+
+    def __init__(self, address, application, connections=2000):
+        self.pool = Pool(connections)
+        self.server = WSGIServer(
+            parse_address(address),
+            application,
+            handler_class=StrictHandler,
+            spawn=self.pool,
+            log=None,
+            error_log=None,
+            backlog=1024,
+        )
+        handle = self.server.handle
+        self.server.handle = lambda sock, peer: self.tune(handle, sock, peer)
+
+    def tune(self, handle, sock, peer):
+        """Set the options of an accepted connection, then handle it."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(IDLE_SECONDS)
+        handle(sock, peer)
+
+    def start(self):
+        """Listen; raises OSError when the address is taken."""
+        self.server.start()
+
+    def stop(self):
+        """Stop listening and end the connections that are left."""
+        self.server.stop(timeout=0.2)
+
+    def stop_accepting(self):
+        """Take no new connection."""
+        self.server.close()
+
+
+def wait_until(condition, seconds, step=0.02):
+    """Wait until `condition()` holds; return whether it did in time."""
+    with gevent.Timeout(seconds, False):
+        while not condition():
+            gevent.sleep(step)
+        return True
+    return condition()
--- /dev/null
+++ b/hingepitch/log.py
@@ -0,0 +1,82 @@
+"""
+hingepitch.log
+~~~~~~~~~~~~~~
+
+Log lines: one line of key=value pairs for each event.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import logging
+import re
+import sys
+
+from loguru import logger
+
+__all__ = ["EVENTS", "configure_log", "format_pairs", "log_event"]
+
+#: Every event name with its level.
+EVENTS = {
+    "started": "INFO",
+    "stopped": "INFO",
+    "draining": "INFO",
+    "child_failed": "ERROR",
+    "child_gave_up": "CRITICAL",
+    "broken_invariant": "CRITICAL",
+    "settings_refused": "ERROR",
+    "role_changed": "INFO",
+    "log_recovered": "INFO",
+    "torn_tail_cut": "WARNING",
+    "snapshot_written": "INFO",
+    "snapshot_installed": "INFO",
+    "storage_failed": "ERROR",
+    "stranger_refused": "WARNING",
+    "bad_frame": "WARNING",
+    "peer_unreachable": "WARNING",
+    "command_refused": "INFO",
+    "command_accepted": "INFO",
+    "lease_lost": "WARNING",
+    "lease_gained": "INFO",
+    "version_applied": "DEBUG",
+    "wave_step": "INFO",
+    "job_step": "INFO",
+    "platform_failed": "WARNING",
+    "claim_left_open": "WARNING",
+    "bad_request": "INFO",
+}
+
+PLAIN_VALUE = re.compile(r"[\w.:/@+-]+\Z", re.ASCII)
+
+
+def format_pairs(pairs):
+    """Return `pairs` as one line; no value can add a pair or a line."""
+    return " ".join(f"{key}={quote_value(value)}" for key, value in pairs.items())
+
+
+def quote_value(value):
+    """Return `value` as a bare word, or quoted and escaped."""
+    text = str(value)
+    if PLAIN_VALUE.match(text):
+        return text
+    escaped = text.encode("unicode_escape").decode("ascii")
+    return '"' + escaped.replace('"', '\\"') + '"'
+
+
+def log_event(event, **pairs):
+    """Log `event`, a name of `EVENTS`, with `pairs`."""
+    logger.log(EVENTS[event], "{}", format_pairs({"event": event, **pairs}))
+
+
+def configure_log(program, level="INFO"):
+    """Send the log lines of `program` to standard error."""
+    logger.remove()
+    logging.getLogger("thrift").setLevel(logging.CRITICAL)
+    logger.add(
+        sys.stderr,
+        level=level,
+        format="time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} "
+        f"program={quote_value(program)} {{message}}",
+        backtrace=False,
+        diagnose=False,
+    )
--- /dev/null
+++ b/hingepitch/metric.py
@@ -0,0 +1,69 @@
+"""
+hingepitch.metric
+~~~~~~~~~~~~~~~~~
+
+Metrics of a daemon, rendered for Prometheus.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import resource
+import time
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["Metrics"]
+
+ACCEPTS = ("text/plain",)
+SECONDS_BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
+
+
+class Metrics:
+    """The metrics of one process.
+
+    `program`
+        Label on every metric.
+    """
+
+    def __init__(self, program):
+        self.registry = Registry()
+        self.labels = {"program": program}
+        self.metric_by_name = {}
+        self.started = time.monotonic()
+
+    def make(self, kind, name, doc, **options):
+        """Return the metric `name`, made on first use."""
+        metric = self.metric_by_name.get(name)
+        if metric is None:
+            metric = kind(
+                f"hingepitch_{name}",
+                doc,
+                const_labels=self.labels,
+                registry=self.registry,
+                **options,
+            )
+            self.metric_by_name[name] = metric
+        return metric
+
+    def count(self, name, doc, amount=1, **labels):
+        """Add `amount` to the counter `name`."""
+        self.make(Counter, name, doc).add(labels, amount)
+
+    def set(self, name, doc, value, **labels):
+        """Set the gauge `name`."""
+        self.make(Gauge, name, doc).set(labels, value)
+
+    def observe(self, name, doc, seconds, **labels):
+        """Add a duration to the histogram `name`."""
+        metric = self.make(Histogram, name, doc, buckets=SECONDS_BUCKETS)
+        metric.observe(labels, seconds)
+
+    def render(self):
+        """Return `(bytes, content type)` of all metrics."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.set("cpu_seconds", "Processor time used.", usage.ru_utime + usage.ru_stime)
+        self.set("resident_bytes_max", "Largest resident set.", usage.ru_maxrss * 1024)
+        self.set("up_seconds", "Time since the start.", time.monotonic() - self.started)
+        content, headers = render(self.registry, ACCEPTS)
+        return content, headers["Content-Type"]
--- /dev/null
+++ b/hingepitch/model/__init__.py
@@ -0,0 +1,9 @@
+"""
+hingepitch.model
+~~~~~~~~~~~~~~~~
+
+The model part of hingepitch.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
--- /dev/null
+++ b/hingepitch/model/codec.py
@@ -0,0 +1,97 @@
+"""
+hingepitch.model.codec
+~~~~~~~~~~~~~~~~~~~~~~
+
+Encoding of records, commands and outcomes, by msgpack.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import msgspec
+
+from hingepitch.error import HingepitchError
+from hingepitch.model.command import COMMAND_BY_NAME, Envelope, Outcome, Role
+from hingepitch.model.record import RECORD_BY_KIND
+
+__all__ = [
+    "decode_changes",
+    "decode_envelope",
+    "decode_outcome",
+    "encode_changes",
+    "encode_envelope",
+    "encode_outcome",
+    "to_plain",
+]
+
+ENCODER = msgspec.msgpack.Encoder()
+OUTCOME_DECODER = msgspec.msgpack.Decoder(Outcome)
+ENVELOPE_DECODER = msgspec.msgpack.Decoder(
+    tuple[Role, str, str, str, int, int, int, str, msgspec.Raw]
+)
+COMMAND_DECODER_BY_NAME = {
+    name: msgspec.msgpack.Decoder(command) for name, command in COMMAND_BY_NAME.items()
+}
+RECORD_DECODER_BY_KIND = {
+    kind: msgspec.msgpack.Decoder(record) for kind, record in RECORD_BY_KIND.items()
+}
+CHANGES_DECODER = msgspec.msgpack.Decoder(list[tuple[str, str, msgspec.Raw]])
+NIL = ENCODER.encode(None)
+
+
+def encode_envelope(envelope):
+    """Return the bytes of `envelope`."""
+    return ENCODER.encode(
+        (
+            envelope.role,
+            envelope.partner,
+            envelope.actor,
+            envelope.command_id,
+            envelope.base_version,
+            envelope.fence,
+            envelope.at_seconds,
+            type(envelope.command).__name__,
+            envelope.command,
+        )
+    )
+
+
+def decode_envelope(data):
+    """Return the `Envelope` of `data`; raise `bad_request`."""
+    try:
+        *head, name, body = ENVELOPE_DECODER.decode(data)
+        command = COMMAND_DECODER_BY_NAME[name].decode(body)
+    except (msgspec.MsgspecError, KeyError) as error:
+        raise HingepitchError("bad_request", f"not a command: {error}") from None
+    role, partner, actor, command_id, base_version, fence, at_seconds = head
+    return Envelope(
+        role, partner, actor, command, command_id, base_version, fence, at_seconds
+    )
+
+
+def encode_outcome(outcome):
+    """Return the bytes of `outcome`."""
+    return ENCODER.encode(outcome)
+
+
+def decode_outcome(data):
+    """Return the `Outcome` of `data`."""
+    return OUTCOME_DECODER.decode(data)
+
+
+def encode_changes(changes):
+    """Return the bytes of an iterable of `(kind, key, record or None)`."""
+    return ENCODER.encode(list(changes))
+
+
+def decode_changes(data):
+    """Yield `(kind, key, record or None)` of `data`."""
+    for kind, key, raw in CHANGES_DECODER.decode(data):
+        is_nil = bytes(raw) == NIL
+        record = None if is_nil else RECORD_DECODER_BY_KIND[kind].decode(raw)
+        yield kind, key, record
+
+
+def to_plain(value):
+    """Return `value` as maps, lists and plain values, for JSON."""
+    return msgspec.to_builtins(value, builtin_types=())
--- /dev/null
+++ b/hingepitch/model/state.py
@@ -0,0 +1,230 @@
+"""
+hingepitch.model.state
+~~~~~~~~~~~~~~~~~~~~~~
+
+The replicated state: records by kind, indices, and what changed when.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from collections import defaultdict, deque
+from dataclasses import replace
+
+import msgspec
+
+from hingepitch.model.codec import ENCODER, RECORD_DECODER_BY_KIND
+from hingepitch.model.command import Outcome
+from hingepitch.model.record import RECORD_BY_KIND, JobState, Life
+from hingepitch.model.selector import matches
+
+__all__ = ["Feed", "PLANNING_KINDS", "ROUTING_KINDS", "State"]
+
+#: What an entry must know.
+ROUTING_KINDS = ("vm", "pool", "service", "permit")
+
+#: What a planner must know.
+PLANNING_KINDS = (*ROUTING_KINDS, "team", "campaign", "planner_lease", "job", "entry")
+
+#: Changes kept for followers; who is further behind gets everything.
+MAX_FEED_CHANGES = 50_000
+
+
+class Feed:
+    """The changes of some kinds of records, by version.
+
+    `kinds`
+        The kinds of records that the feed carries.
+    """
+
+    def __init__(self, kinds, version=0):
+        self.kinds = frozenset(kinds)
+        self.version = version
+        self.first_version = version
+        self.changes = deque()
+
+    def note(self, version, kind, key):
+        """Note that the record `key` of `kind` changed at `version`."""
+        if kind not in self.kinds:
+            return
+        self.version = version
+        self.changes.append((version, kind, key))
+        if len(self.changes) > MAX_FEED_CHANGES:
+            self.first_version = self.changes.popleft()[0]
+
+    def has_since(self, version):
+        """Whether the changes after `version` are still known."""
+        return self.first_version <= version
+
+    def since(self, version):
+        """Return the `(kind, key)` pairs changed after `version`."""
+        pairs = {}
+        for changed_at, kind, key in reversed(self.changes):
+            if changed_at <= version:
+                break
+            pairs[kind, key] = None
+        return list(pairs)
+
+
+class State:
+    """All records, with the indices that decisions need.
+
+    `version` is the log index of the last change. Records are only changed
+    through `put` and `drop`, which keep the indices.
+    """
+
+    def __init__(self):
+        self.by_kind = {kind: {} for kind in RECORD_BY_KIND}
+        self.version = 0
+        self.now_seconds = 0
+        self.outcome_by_command_id = {}
+        self.vms_by_pool = defaultdict(dict)
+        self.down_by_pool = defaultdict(dict)
+        self.services_by_pool = defaultdict(dict)
+        self.jobs_by_vm = defaultdict(dict)
+        self.jobs_by_team = defaultdict(dict)
+        self.waiting_job_by_name = {}
+        self.claims_by_age = deque()
+        self.feed_by_name = {
+            "routing": Feed(ROUTING_KINDS),
+            "planning": Feed(PLANNING_KINDS),
+        }
+
+    def get(self, kind, key):
+        """Return the record `key` of `kind`, or None."""
+        return self.by_kind[kind].get(key)
+
+    def put(self, kind, key, record, version):
+        """Store `record` as changed at `version`; return it."""
+        before = self.by_kind[kind].get(key)
+        if before is not None:
+            self.unindex(kind, key, before)
+        stored = replace(record, version=version)
+        self.by_kind[kind][key] = stored
+        self.index(kind, key, stored)
+        self.note(version, kind, key)
+        return stored
+
+    def drop(self, kind, key, version):
+        """Remove the record `key` of `kind`, if there is one."""
+        before = self.by_kind[kind].pop(key, None)
+        if before is not None:
+            self.unindex(kind, key, before)
+            self.note(version, kind, key)
+
+    def note(self, version, kind, key):
+        """Tell the feeds of a change."""
+        self.version = version
+        for feed in self.feed_by_name.values():
+            feed.note(version, kind, key)
+
+    def index(self, kind, key, record):
+        """Add `record` to the indices."""
+        if kind == "vm":
+            self.vms_by_pool[record.pool][key] = record
+            if record.life is not Life.LIVE:
+                self.down_by_pool[record.pool][key] = record
+        elif kind == "service":
+            self.services_by_pool[record.pool][key] = record
+        elif kind == "job":
+            if record.state in (JobState.RUNNING, JobState.STOPPING):
+                self.jobs_by_vm[record.vm][key] = record
+                self.jobs_by_team[record.team][key] = record
+            elif record.state is JobState.WAITING:
+                self.waiting_job_by_name[key] = record
+        elif kind == "claim" and record.version:
+            self.claims_by_age.append((record.at_seconds, key, record.version))
+
+    def unindex(self, kind, key, record):
+        """Take `record` out of the indices."""
+        if kind == "vm":
+            self.vms_by_pool[record.pool].pop(key, None)
+            self.down_by_pool[record.pool].pop(key, None)
+        elif kind == "service":
+            self.services_by_pool[record.pool].pop(key, None)
+        elif kind == "job":
+            self.jobs_by_vm[record.vm].pop(key, None)
+            self.jobs_by_team[record.team].pop(key, None)
+            self.waiting_job_by_name.pop(key, None)
+
+    def minions(self, service):
+        """Yield the VMs that carry `service`, whatever their life."""
+        for vm in self.vms_by_pool[service.pool].values():
+            if matches(service.selector, vm.labels):
+                yield vm
+
+    def services_of(self, vm):
+        """Yield the services that `vm` carries."""
+        for service in self.services_by_pool[vm.pool].values():
+            if matches(service.selector, vm.labels):
+                yield service
+
+    def count_down(self, service):
+        """Return how many VMs of `service` are not live."""
+        down = self.down_by_pool[service.pool].values()
+        return sum(matches(service.selector, vm.labels) for vm in down)
+
+    def changes_since(self, feed_name, version):
+        """Return `(version, full, changes)` for a follower at `version`."""
+        feed = self.feed_by_name[feed_name]
+        full = not feed.has_since(version)
+        pairs = self.all_pairs(feed) if full else feed.since(version)
+        changes = [(kind, key, self.get(kind, key)) for kind, key in pairs]
+        return feed.version, full, changes
+
+    def all_pairs(self, feed):
+        """Return the `(kind, key)` of every record that `feed` carries."""
+        return [
+            (kind, key) for kind in sorted(feed.kinds) for key in self.by_kind[kind]
+        ]
+
+    def follow(self, changes, version, full):
+        """Bring this copy to `version` by the changes of a feed."""
+        if full:
+            for kind in RECORD_BY_KIND:
+                for key in list(self.by_kind[kind]):
+                    self.drop(kind, key, version)
+        for kind, key, record in changes:
+            if record is None:
+                self.drop(kind, key, version)
+            else:
+                self.put(kind, key, record, record.version)
+        self.version = version
+
+    def to_snapshot(self):
+        """Return the bytes of the whole state."""
+        return ENCODER.encode(
+            {
+                "version": self.version,
+                "now_seconds": self.now_seconds,
+                "feeds": {
+                    name: feed.version for name, feed in self.feed_by_name.items()
+                },
+                "records": self.by_kind,
+                "outcomes": self.outcome_by_command_id,
+            }
+        )
+
+    @classmethod
+    def from_snapshot(cls, data):
+        """Return the state of the bytes `data`."""
+        raw = msgspec.msgpack.decode(data, type=dict[str, msgspec.Raw])
+        state = cls()
+        tables = msgspec.msgpack.decode(
+            raw["records"], type=dict[str, dict[str, msgspec.Raw]]
+        )
+        for kind, table in tables.items():
+            decoder = RECORD_DECODER_BY_KIND[kind]
+            for key, body in table.items():
+                record = decoder.decode(body)
+                state.by_kind[kind][key] = record
+                state.index(kind, key, record)
+        state.version = msgspec.msgpack.decode(raw["version"])
+        state.now_seconds = msgspec.msgpack.decode(raw["now_seconds"])
+        state.outcome_by_command_id = msgspec.msgpack.decode(
+            raw["outcomes"], type=dict[str, Outcome]
+        )
+        for name, version in msgspec.msgpack.decode(raw["feeds"]).items():
+            kinds = state.feed_by_name[name].kinds
+            state.feed_by_name[name] = Feed(kinds, version)
+        return state
--- /dev/null
+++ b/hingepitch/planner/platform.py
@@ -0,0 +1,102 @@
+"""
+hingepitch.planner.platform
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Calls to the platform's API.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import json
+
+from geventhttpclient import HTTPClient
+
+from hingepitch.error import HingepitchError
+from hingepitch.planner.view import PlatformView, PlatformVm, Task, TaskState
+from hingepitch.setting import parse_address
+
+__all__ = ["PlatformClient"]
+
+TIMEOUT_SECONDS = 5.0
+TASK_LEASE_SECONDS = 10
+
+
+class PlatformClient:
+    """The platform, by its HTTP API.
+
+    `address`
+        `IP:port`.
+
+    Every call may be repeated: the platform knows reboots and tasks by
+    their ids. Calls raise `HingepitchError` (`platform_failed`).
+    """
+
+    def __init__(self, address):
+        host, port = parse_address(address)
+        self.client = HTTPClient(
+            host,
+            port,
+            concurrency=4,
+            connection_timeout=TIMEOUT_SECONDS,
+            network_timeout=TIMEOUT_SECONDS,
+        )
+
+    def call(self, method, path, body=None):
+        """Return the JSON answer."""
+        data = b"" if body is None else json.dumps(body).encode()
+        headers = {"Content-Type": "application/json"}
+        try:
+            response = self.client.request(method, path, body=data, headers=headers)
+            answer = response.read()
+        except (OSError, ValueError) as error:
+            raise HingepitchError("platform_failed", repr(error)) from None
+        if response.status_code >= 300:
+            detail = f"{path}: status {response.status_code}"
+            raise HingepitchError("platform_failed", detail)
+        return json.loads(answer)
+
+    def view(self, unhealthy_since_by_vm, now):
+        """Return the present view, keeping since when VMs are unhealthy."""
+        vms = self.call("GET", "/vms")
+        tasks = self.call("GET", "/tasks")
+        vm_by_name = {
+            vm["name"]: PlatformVm(vm["name"], vm["healthy"], vm["boot_id"])
+            for vm in vms
+        }
+        since = {
+            name: unhealthy_since_by_vm.get(name, now)
+            for name, vm in vm_by_name.items()
+            if not vm.healthy
+        }
+        task_by_name = {
+            task["name"]: Task(task["name"], task["vm"], TaskState(task["state"]))
+            for task in tasks
+        }
+        return PlatformView(vm_by_name, task_by_name, since)
+
+    def reboot(self, vm, request_id):
+        """Reboot a VM."""
+        self.call("POST", f"/vms/{vm}/reboot", {"request_id": request_id})
+
+    def start_task(self, name, vm, run_seconds):
+        """Start a task under a lease."""
+        self.call(
+            "POST",
+            "/tasks",
+            {
+                "name": name,
+                "vm": vm,
+                "run_seconds": run_seconds,
+                "lease_seconds": TASK_LEASE_SECONDS,
+            },
+        )
+
+    def stop_task(self, name):
+        """Stop a task."""
+        self.call("POST", "/stop", {"names": [name]})
+
+    def renew_tasks(self, names):
+        """Renew the leases of tasks."""
+        body = {"names": list(names), "lease_seconds": TASK_LEASE_SECONDS}
+        self.call("POST", "/renew", body)
--- /dev/null
+++ b/hingepitch/planner/program.py
@@ -0,0 +1,175 @@
+"""
+hingepitch.planner.program
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The planner: composition root and command line.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from hingepitch.patch import patch_program
+
+patch_program()
+
+import itertools
+
+import gevent
+
+from hingepitch.app import Application, run_daemon
+from hingepitch.clock import lease_seconds, wall_seconds
+from hingepitch.cmdline import run_command
+from hingepitch.error import HingepitchError
+from hingepitch.group import GroupClient
+from hingepitch.httpd import HttpServer, StatusResources, make_api
+from hingepitch.log import log_event
+from hingepitch.metric import Metrics
+from hingepitch.model.codec import decode_changes
+from hingepitch.model.command import TakePlannerLease
+from hingepitch.model.state import State
+from hingepitch.planner.executor import Executor
+from hingepitch.planner.placement import Suspicion, plan_jobs, plan_tasks
+from hingepitch.planner.platform import PlatformClient
+from hingepitch.planner.settings import PlannerSettings
+from hingepitch.planner.view import PlatformView
+from hingepitch.planner.wave import plan_drains, plan_health, plan_moves, plan_wave
+
+__all__ = ["Planner", "main"]
+
+#: The lease to plan is renewed when this part of it has passed.
+RENEW_PART = 0.3
+
+
+class Planner(Application):
+    """Decides where jobs run and which VMs leave, while it has the lease."""
+
+    program = "planner"
+
+    def setup(self):
+        """Wire the parts."""
+        settings = self.settings
+        self.metrics = Metrics(self.program)
+        self.group = GroupClient(
+            settings.control, settings.name, settings.shared_key, timeout_seconds=5.0
+        )
+        self.platform = PlatformClient(settings.platform)
+        self.executor = Executor(self.group, self.platform, settings.name, self.metrics)
+        self.state = State()
+        self.version = 0
+        self.view = PlatformView()
+        self.suspicion = Suspicion()
+        self.lease_until = 0.0
+        self.pass_seconds = 0.0
+        api = make_api()
+        StatusResources(self.is_healthy, self.status, self.metrics).add_to(api)
+        self.http = HttpServer(settings.http_address, api, connections=50)
+
+    def start(self):
+        """Start the children and the server."""
+        self.supervisor.start("planning", self.run_passes)
+        self.http.start()
+
+    def stop(self):
+        """Stop the server."""
+        if hasattr(self, "http"):
+            self.http.stop()
+
+    def run_passes(self):
+        """Make one pass after another until killed."""
+        while True:
+            try:
+                if self.hold_lease():
+                    self.make_pass()
+            except HingepitchError as error:
+                log_event("platform_failed", code=error.code, detail=error.detail)
+            gevent.sleep(self.settings.pass_seconds)
+
+    def hold_lease(self):
+        """Take or renew the lease to plan; return whether it is held."""
+        seconds = self.settings.lease_seconds
+        now = lease_seconds()
+        if now < self.lease_until - seconds * (1 - RENEW_PART):
+            return True
+        command = TakePlannerLease(self.settings.name, seconds)
+        outcome = self.executor.propose(command)
+        if not outcome.accepted:
+            self.executor.fence = 0
+            self.lease_until = 0.0
+            return False
+        self.executor.fence = outcome.fence
+        self.lease_until = now + seconds
+        return True
+
+    def follow(self):
+        """Bring the copy of the state up to date."""
+        changes = self.group.call("watch", self.version, 0, seconds=3.0)
+        if changes.version > self.version:
+            objects = decode_changes(changes.objects)
+            self.state.follow(objects, changes.version, changes.full)
+            self.version = changes.version
+
+    def make_pass(self):
+        """Plan once, and carry the plan out."""
+        self.follow()
+        now = lease_seconds()
+        self.view = self.platform.view(self.view.unhealthy_since_by_vm, now)
+        self.learn_from_tasks(now)
+        steps = list(self.plan(now))
+        self.pass_seconds = lease_seconds() - now
+        self.metrics.observe("pass_seconds", "Time of a pass.", self.pass_seconds)
+        for step in steps:
+            self.carry_out(step)
+
+    def plan(self, now):
+        """Yield all steps of one pass."""
+        yield from itertools.chain(
+            plan_health(self.state, self.view, now, self.settings.lost_after_seconds),
+            plan_tasks(self.state, self.view),
+            plan_jobs(self.state, lambda vm: self.suspicion.is_suspect(vm, now)),
+            plan_drains(self.state, self.view),
+            plan_moves(self.state, self.view),
+            plan_wave(self.state, self.view, wall_seconds()),
+        )
+
+    def learn_from_tasks(self, now):
+        """Learn from ended tasks which VMs fail everything."""
+        self.suspicion.learn(self.view.task_by_name, now)
+
+    def carry_out(self, step):
+        """Carry out one step; a failure does not stop the others."""
+        try:
+            self.executor.carry_out(step)
+        except HingepitchError as error:
+            log_event("platform_failed", step=repr(step), detail=error.detail)
+
+    def is_healthy(self):
+        """Whether this planner runs; a standby is healthy too."""
+        return True
+
+    def status(self):
+        """Return the status of this planner as plain values."""
+        return {
+            "name": self.settings.name,
+            "version": self.version,
+            "plans": lease_seconds() < self.lease_until,
+            "fence": self.executor.fence,
+            "pass_seconds": self.pass_seconds,
+            "permits": sorted(self.state.by_kind["permit"]),
+            "waiting_jobs": len(self.state.waiting_job_by_name),
+        }
+
+
+def run(*, settings: str, check: bool = False):
+    """Run one planner: it decides placement, maintenance and pool moves.
+
+    Run two or three; the one that holds the lease plans.
+
+    :param settings: the settings file (YAML)
+    :param check: only say whether the settings are valid
+    """
+    return run_daemon(Planner, PlannerSettings, settings, check)
+
+
+def main():
+    """Entry point of `hingepitch-planner`."""
+    run_command(run, "hingepitch-planner")
--- /dev/null
+++ b/hingepitch/planner/settings.py
@@ -0,0 +1,40 @@
+"""
+hingepitch.planner.settings
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Settings of a planner.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from typing import Annotated
+
+from pydantic import Field
+
+from hingepitch.setting import Address, DaemonSettings
+
+__all__ = ["PlannerSettings"]
+
+
+class PlannerSettings(DaemonSettings):
+    """Settings of `hingepitch-planner`.
+
+    `control`
+        `IP:port` of the control replicas.
+    `platform`
+        `IP:port` of the platform's API.
+    `lease_seconds`
+        How long the lease to plan runs. Default: 5.
+    `pass_seconds`
+        Pause between two passes. Default: 0.2.
+    `lost_after_seconds`
+        A VM that the platform shows unhealthy for so long counts as lost.
+        Default: 2.
+    """
+
+    control: Annotated[list[Address], Field(min_length=1)]
+    platform: Address
+    lease_seconds: Annotated[int, Field(ge=1, le=600)] = 5
+    pass_seconds: Annotated[float, Field(ge=0.01, le=60)] = 0.2
+    lost_after_seconds: Annotated[float, Field(ge=0, le=3600)] = 2.0
--- /dev/null
+++ b/hingepitch/setting.py
@@ -0,0 +1,128 @@
+"""
+hingepitch.setting
+~~~~~~~~~~~~~~~~~~
+
+Settings files: read, validated at once, every fault reported.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import hashlib
+import ipaddress
+from typing import Annotated
+
+import yaml
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from hingepitch.error import HingepitchError
+
+__all__ = [
+    "Address",
+    "DaemonSettings",
+    "PeerSettings",
+    "Settings",
+    "hash_token",
+    "load_settings",
+    "parse_address",
+    "validate_faults",
+]
+
+MIN_SHARED_KEY_CHARS = 16
+
+
+def parse_address(text):
+    """Return `(ip, port)` of `text`, which is `IP:port`; raise ValueError."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise ValueError("expected IP:port") from None
+    if not 0 < number < 65536:
+        raise ValueError("expected IP:port")
+    return host.strip("[]"), number
+
+
+def check_address(text):
+    """Return `text` if it is `IP:port`; raise ValueError."""
+    parse_address(text)
+    return text
+
+
+Address = Annotated[str, AfterValidator(check_address)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+
+
+class Settings(BaseModel):
+    """Base of every settings model: unknown keys are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class PeerSettings(Settings):
+    """Another process of the control group."""
+
+    name: Name
+    address: Address
+    hall: Name
+
+
+class DaemonSettings(Settings):
+    """What every daemon has.
+
+    `name`
+        The name of this process, unique in the system.
+    `hall`
+        The hall of this process.
+    `http_address`
+        Where this process serves HTTP.
+    `shared_key`
+        The secret by which the processes of the system know each other.
+    `log_level`
+        Default: INFO.
+    """
+
+    name: Name
+    hall: Name
+    http_address: Address
+    shared_key: Annotated[str, Field(min_length=MIN_SHARED_KEY_CHARS)]
+    log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+
+
+def hash_token(token):
+    """Return the form of an operator's token that lies in the settings."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def format_path(location):
+    """Return the path of a fault, like `control.peers[1].address`."""
+    path = ""
+    for part in location:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return path.lstrip(".") or "(file)"
+
+
+def validate_faults(error):
+    """Yield one line for each fault of a pydantic ValidationError."""
+    for fault in error.errors():
+        message = fault["msg"].removeprefix("Value error, ")
+        yield f"{format_path(fault['loc'])}: {message}"
+
+
+def load_settings(model, path):
+    """Return the settings of `path` as `model`.
+
+    Raises `HingepitchError` (`bad_settings`) with one line for each fault.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = yaml.safe_load(file)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        raise HingepitchError("bad_settings", f"{path}: {error}") from None
+    try:
+        return model.model_validate(document)
+    except ValidationError as error:
+        raise HingepitchError(
+            "bad_settings", "\n".join(validate_faults(error))
+        ) from None
--- /dev/null
+++ b/standin/cluster.py
@@ -0,0 +1,439 @@
+"""
+standin.cluster
+~~~~~~~~~~~~~~~
+
+A whole system on this machine, as separate processes with a folder of
+their own. It ends only what it started.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import hashlib
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from http.client import HTTPConnection
+from pathlib import Path
+
+import yaml
+
+SHARED_KEY = "a-key-for-this-machine-only"
+START_SECONDS = 20.0
+STOP_SECONDS = 15.0
+TOKEN_BY_PARTNER = {"prescriptions": "token-of-amal", "journeys": "token-of-joris"}
+OPERATOR_BY_PARTNER = {"prescriptions": "amal", "journeys": "joris"}
+BIN = Path(sys.executable).parent
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def free_ports(count, ip="127.0.0.1"):
+    """Return `count` ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind((ip, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+def http_call(address, method, path, body=None, headers=None, timeout=10.0):
+    """Return `(status, headers, body)` of one HTTP call."""
+    connection = HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    finally:
+        connection.close()
+
+
+def wait_for(condition, seconds=START_SECONDS, what="the condition"):
+    """Wait until `condition()` is true and return its value."""
+    deadline = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{what} did not come true in {seconds} s")
+        time.sleep(0.02)
+
+
+class Process:
+    """One process that this cluster started."""
+
+    def __init__(self, name, command, folder):
+        self.name = name
+        self.command = command
+        self.log_path = folder / f"{name}.log"
+        self.popen = None
+
+    def start(self):
+        """Start it, adding to its log."""
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen(
+                self.command, stdout=log, stderr=log, cwd=ROOT
+            )
+
+    def signal(self, number):
+        """Send it a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self):
+        """Kill it without warning."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def stop(self):
+        """Ask it to stop and wait; return its exit code."""
+        self.popen.terminate()
+        return self.popen.wait(STOP_SECONDS)
+
+    def is_running(self):
+        """Whether it runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def log(self):
+        """Return its log."""
+        return self.log_path.read_text(errors="replace")
+
+
+class Cluster:
+    """Control replicas, entries, planners and the stand-in world.
+
+    `replicas`, `entries`, `planners`
+        How many of each. Defaults: 3, 2, 1.
+    `vms`
+        VMs of each partner, four to a rack, over four halls. Default: 8.
+    `lease_seconds`
+        Lease of an entry. Default: 2.
+    """
+
+    def __init__(
+        self,
+        replicas=3,
+        entries=2,
+        planners=1,
+        vms=8,
+        lease_seconds=2.0,
+        reboot_seconds=0.3,
+        lag_seconds=0.2,
+    ):
+        self.folder = Path(tempfile.mkdtemp(prefix="hingepitch-"))
+        self.lease_seconds = lease_seconds
+        self.reboot_seconds = reboot_seconds
+        self.lag_seconds = lag_seconds
+        self.process_by_name = {}
+        ports = iter(free_ports(replicas * 2 + entries + planners + 3))
+        self.replica_names = [f"c{n}" for n in range(1, replicas + 1)]
+        self.entry_names = [f"e{n}" for n in range(1, entries + 1)]
+        self.planner_names = [f"p{n}" for n in range(1, planners + 1)]
+        names = self.replica_names + self.entry_names + self.planner_names
+        self.http_by_name = {name: f"127.0.0.1:{next(ports)}" for name in names}
+        self.rpc_by_name = {
+            name: f"127.0.0.1:{next(ports)}" for name in self.replica_names
+        }
+        self.rpc_for_peers = dict(self.rpc_by_name)
+        self.platform = f"127.0.0.1:{next(ports)}"
+        self.service_ports = {"prescriptions": next(ports), "journeys": next(ports)}
+        self.vm_documents = list(self.make_vms(vms))
+
+    # What the stand-in world holds.
+
+    def make_vms(self, count):
+        """Yield the VM objects of both partners."""
+        unique = os.getpid() % 200 + 20
+        for at, partner in enumerate(TOKEN_BY_PARTNER):
+            for number in range(count):
+                yield {
+                    "kind": "vm",
+                    "name": f"{partner[0]}{number + 1}",
+                    "pool": f"{partner}-pool",
+                    "hall": f"hall-{number % 4 + 1}",
+                    "rack": f"{partner[0]}-rack-{number // 4 + 1}",
+                    "ip": f"127.{unique}.{at + 1}.{number + 1}",
+                    "labels": {"tier": "small", "color": "blue"},
+                    "cores": 16,
+                    "memory_gb": 32,
+                }
+
+    def partner_of(self, vm):
+        """Return the partner of a VM object."""
+        return vm["pool"].removesuffix("-pool")
+
+    def declarations(self):
+        """Return the objects of both partners, `(partner, object)`."""
+        objects = []
+        for partner in TOKEN_BY_PARTNER:
+            objects.append((partner, {"kind": "pool", "name": f"{partner}-pool"}))
+            team = {"kind": "team", "name": f"{partner}-team", "quota_cores": 64}
+            objects.append((partner, team))
+        for vm in self.vm_documents:
+            objects.append((self.partner_of(vm), vm))
+        objects += self.services()
+        return objects
+
+    def services(self):
+        """Return the services of both partners."""
+        pills = self.service_ports["prescriptions"]
+        routes = self.service_ports["journeys"]
+        base = {"kind": "service", "selector": "tier=small", "max_down": 1}
+        return [
+            (
+                "prescriptions",
+                {
+                    **base,
+                    "name": "eligibility",
+                    "pool": "prescriptions-pool",
+                    "port": pills,
+                },
+            ),
+            (
+                "prescriptions",
+                {
+                    **base,
+                    "name": "refill",
+                    "pool": "prescriptions-pool",
+                    "port": pills,
+                    "repeatable": False,
+                },
+            ),
+            (
+                "journeys",
+                {
+                    **base,
+                    "name": "route",
+                    "pool": "journeys-pool",
+                    "port": routes,
+                    "max_down": 2,
+                },
+            ),
+        ]
+
+    # Settings files.
+
+    def write_settings(self, name, settings):
+        """Write a settings file; return its path."""
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return path
+
+    def common_settings(self, name):
+        """Return the settings that every daemon has."""
+        return {
+            "name": name,
+            "hall": f"hall-{int(name[1:]) % 4 + 1}",
+            "http_address": self.http_by_name[name],
+            "shared_key": SHARED_KEY,
+        }
+
+    def control_settings(self, name):
+        """Return the settings of a control replica."""
+        return {
+            **self.common_settings(name),
+            "rpc_address": self.rpc_by_name[name],
+            "data_folder": str(self.folder / f"data-{name}"),
+            "lease_seconds": self.lease_seconds,
+            "peers": [
+                {
+                    "name": peer,
+                    "address": self.rpc_for_peers[peer],
+                    "hall": f"hall-{int(peer[1:]) % 4 + 1}",
+                }
+                for peer in self.replica_names
+            ],
+            "operators": [
+                {
+                    "name": OPERATOR_BY_PARTNER[partner],
+                    "partner": partner,
+                    "token_sha256": hashlib.sha256(token.encode()).hexdigest(),
+                }
+                for partner, token in TOKEN_BY_PARTNER.items()
+            ],
+        }
+
+    def make_processes(self):
+        """Write all settings files and make the processes."""
+        control = [self.rpc_for_peers[name] for name in self.replica_names]
+        for name in self.replica_names:
+            self.add("control", name, self.control_settings(name))
+        for name in self.entry_names:
+            settings = {**self.common_settings(name), "drain_seconds": 0.2}
+            self.add("entry", name, {**settings, "control": control})
+        for name in self.planner_names:
+            settings = {**self.common_settings(name), "control": control}
+            settings |= {"platform": self.platform, "lease_seconds": 2}
+            settings |= {"pass_seconds": 0.05, "lost_after_seconds": 0.5}
+            self.add("planner", name, settings)
+        self.add_world()
+
+    def add(self, program, name, settings):
+        """Make the process of a program of the product."""
+        path = self.write_settings(name, settings)
+        command = [str(BIN / f"hingepitch-{program}"), "--settings", str(path)]
+        self.process_by_name[name] = Process(name, command, self.folder)
+
+    def add_world(self):
+        """Make the process of the stand-in world."""
+        document = {
+            "address": self.platform,
+            "lag_seconds": self.lag_seconds,
+            "reboot_seconds": self.reboot_seconds,
+            "vms": [
+                {
+                    "name": vm["name"],
+                    "ip": vm["ip"],
+                    "group": self.partner_of(vm),
+                    "ports": [self.service_ports[self.partner_of(vm)]],
+                }
+                for vm in self.vm_documents
+            ],
+        }
+        path = self.folder / "world.json"
+        path.write_text(json.dumps(document))
+        command = [sys.executable, "-m", "standin.world", str(path)]
+        self.process_by_name["world"] = Process("world", command, self.folder)
+
+    # Life cycle.
+
+    def start(self, with_declarations=True):
+        """Start everything and wait until requests can flow."""
+        self.make_processes()
+        founding = [
+            subprocess.Popen(
+                [*self.process_by_name[name].command, "--init"],
+                stdout=subprocess.DEVNULL,
+                cwd=ROOT,
+            )
+            for name in self.replica_names
+        ]
+        if any(popen.wait() for popen in founding):
+            raise RuntimeError("the data folders could not be founded")
+        for process in self.process_by_name.values():
+            process.start()
+        self.wait_leader()
+        if with_declarations:
+            for partner, document in self.declarations():
+                self.put(partner, document)
+            self.wait_entries()
+
+    def wait_leader(self, seconds=START_SECONDS):
+        """Wait until a replica leads; return its name."""
+        return wait_for(self.leader, seconds, "a leader")
+
+    def leader(self):
+        """Return the name of the replica that leads in the last term."""
+        statuses = [self.status(name) for name in self.replica_names]
+        leaders = [
+            (status["term"], status["name"])
+            for status in statuses
+            if status and status["role"] == "leader"
+        ]
+        return max(leaders)[1] if leaders else None
+
+    def wait_entries(self):
+        """Wait until every entry has a lease and the last version."""
+        leader = self.status(self.wait_leader())
+        version = leader["routing_version"]
+        for name in self.entry_names:
+            wait_for(
+                lambda name=name: self.is_at(name, version), what=f"{name} at {version}"
+            )
+
+    def is_at(self, entry, version):
+        """Whether an entry has a lease and a version."""
+        status = self.status(entry)
+        return status and status["has_lease"] and status["version"] >= version
+
+    def status(self, name):
+        """Return the status of a daemon, or None."""
+        if not self.process_by_name[name].is_running():
+            return None
+        try:
+            return json.loads(
+                http_call(self.http_by_name[name], "GET", "/status", timeout=1.0)[2]
+            )
+        except (OSError, ValueError):
+            return None
+
+    def close(self):
+        """End what this cluster started, and remove its folder."""
+        for process in self.process_by_name.values():
+            if process.is_running():
+                process.signal(signal.SIGCONT)
+                process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.close()
+
+    # Operators.
+
+    def admin_settings(self, partner):
+        """Return the path of the settings file of a partner's operator."""
+        settings = {
+            "control": [self.http_by_name[name] for name in self.replica_names],
+            "token": TOKEN_BY_PARTNER[partner],
+        }
+        return self.write_settings(f"admin-{partner}", settings)
+
+    def admin(self, partner, *arguments):
+        """Run `hingepitch-admin`; return the finished process."""
+        command = [str(BIN / "hingepitch-admin"), *arguments]
+        command += ["--settings", str(self.admin_settings(partner))]
+        return subprocess.run(command, capture_output=True, text=True, timeout=60)
+
+    def client(self, partner):
+        """Return an `AdminClient` of a partner's operator."""
+        from hingepitch.admin.client import AdminClient, AdminSettings
+
+        return AdminClient(
+            AdminSettings(
+                control=[self.http_by_name[name] for name in self.replica_names],
+                token=TOKEN_BY_PARTNER[partner],
+            )
+        )
+
+    def put(self, partner, document):
+        """Declare an object; return the outcome."""
+        return self.client(partner).command(put=document)
+
+    def objects(self, kind, partner="prescriptions"):
+        """Return all objects of a kind by their names."""
+        rows = self.client(partner).call("GET", f"/v1/objects/{kind}")
+        return {row.get("name", row.get("vm", row.get("key"))): row for row in rows}
+
+    # Callers and the stand-in world.
+
+    def request(self, entry, service, name, body=b"", key="", method=None, **headers):
+        """Send a caller's request; return `(status, headers, body)`."""
+        sent = {"Request-Name": name, **headers}
+        if key:
+            sent["Idempotency-Key"] = key
+        method = method or ("POST" if body else "GET")
+        address = self.http_by_name[entry]
+        return http_call(address, method, f"/s/{service}/x", body, sent)
+
+    def world(self, path, body=None):
+        """Call the stand-in world."""
+        method = "GET" if body is None else "POST"
+        data = None if body is None else json.dumps(body)
+        headers = {"Content-Type": "application/json"}
+        answer = http_call(self.platform, method, path, data, headers)
+        return json.loads(answer[2])
+
+    def counts(self):
+        """Return what the world counted."""
+        return self.world("/counts")
