Scenarios of the eight promises on real processes

Cause: the promises were only shown by the demo.

Found by the scenarios and mended: the operators' client crashed when a replica died with its call (the HTTP library's own exception was not caught); a command resent with its id stood twice in the audit trail; an operator whose first replica is frozen gave up after 30 s before asking another; an entry took a leader's address from a replica's settings before it had asked the replicas that its own settings name.

Ruled out: a cut-off entry keeping its lease (its calls went round the relay, by the address above).

--- a/hingepitch/admin/client.py
+++ b/hingepitch/admin/client.py
@@ -8,20 +8,19 @@
 :license: BSD, see LICENSE for details.
 """
 
-import json
 import time
 import uuid
 
-from geventhttpclient import HTTPClient
-
 from hingepitch.error import ERROR_BY_CODE, HingepitchError
-from hingepitch.setting import Address, Settings, parse_address
+from hingepitch.jsoncall import call_json
+from hingepitch.setting import Address, Settings
 
 __all__ = ["AdminClient", "AdminSettings"]
 
-TIMEOUT_SECONDS = 30.0
+#: A replica that is frozen holds an operator up for this long.
+TIMEOUT_SECONDS = 6.0
 PAUSE_SECONDS = 0.2
-GIVE_UP_SECONDS = 20.0
+GIVE_UP_SECONDS = 30.0
 
 #: Codes after which another replica is asked, with the same command id.
 PASSING_CODES = frozenset(
@@ -55,26 +54,11 @@
 
     def call_at(self, address, method, path, body=None):
         """Return the JSON answer of one replica; raise `HingepitchError`."""
-        host, port = parse_address(address)
-        headers = {
-            "Authorization": f"Bearer {self.settings.token}",
-            "Content-Type": "application/json",
-        }
-        data = json.dumps(body).encode() if body is not None else b""
-        client = HTTPClient(
-            host,
-            port,
-            connection_timeout=2.0,
-            network_timeout=TIMEOUT_SECONDS,
+        headers = {"Authorization": f"Bearer {self.settings.token}"}
+        status, answer = call_json(
+            address, method, path, body, headers, TIMEOUT_SECONDS
         )
-        try:
-            response = client.request(method, path, body=data, headers=headers)
-            answer = json.loads(response.read())
-        except (OSError, ValueError) as error:
-            raise HingepitchError("peer_failed", f"{address}: {error!r}") from None
-        finally:
-            client.close()
-        if response.status_code >= 300:
+        if status >= 300:
             raise to_error(answer)
         return answer
 
--- a/hingepitch/control/operator.py
+++ b/hingepitch/control/operator.py
@@ -26,7 +26,9 @@
 __all__ = ["Authenticator", "CommandForm", "OperatorApi"]
 
 MAX_BODY_BYTES = 1_000_000
-LONGEST_WAIT_SECONDS = 25.0
+#: Below the time-out of the operators' client.
+LONGEST_WAIT_SECONDS = 4.0
+PROPOSE_SECONDS = 4.0
 AUDIT_ROWS = 1000
 
 
@@ -136,8 +138,8 @@
         if self.replica.is_leader:
             self.replica.confirm()
         else:
-            index = self.group.call("read_index", seconds=5.0)
-            self.replica.wait_applied(index, 5.0)
+            index = self.group.call("read_index", seconds=PROPOSE_SECONDS)
+            self.replica.wait_applied(index, PROPOSE_SECONDS)
         return self.replica.state
 
     def on_post_commands(self, req, resp):
@@ -152,7 +154,7 @@
             form.id,
             form.base_version,
         )
-        outcome = self.group.propose(envelope)
+        outcome = self.group.propose(envelope, PROPOSE_SECONDS)
         if not outcome.accepted:
             raise HingepitchError(outcome.code, outcome.detail)
         resp.media = {"version": outcome.version}
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -44,7 +44,7 @@
 from hingepitch.control.storage import Snapshot
 from hingepitch.error import HingepitchError
 from hingepitch.log import log_event
-from hingepitch.model.apply import apply, object_of
+from hingepitch.model.apply import apply, is_resend, object_of
 from hingepitch.model.codec import decode_envelope, encode_envelope, to_plain
 from hingepitch.model.command import Role
 from hingepitch.model.state import State
@@ -342,9 +342,11 @@
         envelope = decode_envelope(entry.payload)
         kind, name = object_of(envelope.command)
         before = self.state.get(kind, name) if kind else None
+        is_audited = envelope.role is Role.OPERATOR
+        is_audited &= not is_resend(self.state, envelope)
         outcome = apply(self.state, envelope, entry.index)
         self.commands_applied += 1
-        if envelope.role is Role.OPERATOR:
+        if is_audited:
             after = self.state.get(kind, name) if kind else None
             self.audit.add(
                 AuditRecord(
--- a/hingepitch/group.py
+++ b/hingepitch/group.py
@@ -45,6 +45,7 @@
         self.clients_by_address = {}
         self.turn = 0
         self.preferred = self.addresses[0]
+        self.misses = 0
 
     def client(self, address):
         """Return a free connection to `address`, or the next in turn."""
@@ -70,13 +71,19 @@
             raise
 
     def prefer_another(self, address, leader):
-        """Ask the leader next time, or the next replica."""
+        """Ask the leader next time, or the next replica.
+
+        A leader at an address that the settings do not name is asked only
+        after all the named ones.
+        """
         if self.preferred != address:
             return
-        if leader:
+        known = self.addresses
+        self.misses = self.misses + 1 if leader else 0
+        if leader in known or (leader and self.misses > len(known)):
             self.preferred = leader
+            self.misses = 0
             return
-        known = self.addresses
         position = known.index(address) if address in known else -1
         self.preferred = known[(position + 1) % len(known)]
 
--- a/hingepitch/model/apply.py
+++ b/hingepitch/model/apply.py
@@ -33,7 +33,7 @@
 )
 from hingepitch.model.selector import matches, parse_selector
 
-__all__ = ["CLAIM_RETENTION_SECONDS", "apply", "claim_key", "object_of"]
+__all__ = ["CLAIM_RETENTION_SECONDS", "apply", "claim_key", "is_resend", "object_of"]
 
 #: Command ids kept, so that a resent command gets its first outcome.
 MAX_COMMAND_IDS = 20_000
@@ -71,7 +71,7 @@
     A resent command changes nothing and gets its first outcome.
     """
     state.now_seconds = max(state.now_seconds, envelope.at_seconds)
-    command_id = envelope.command_id and f"{envelope.partner}/{envelope.command_id}"
+    command_id = full_command_id(envelope)
     if command_id in state.outcome_by_command_id:
         return state.outcome_by_command_id[command_id]
     outcome = decide(state, envelope, index)
@@ -81,6 +81,16 @@
     return outcome
 
 
+def full_command_id(envelope):
+    """Return the command id, told apart by partner; empty if there is none."""
+    return envelope.command_id and f"{envelope.partner}/{envelope.command_id}"
+
+
+def is_resend(state, envelope):
+    """Whether the command of `envelope` was decided before."""
+    return full_command_id(envelope) in state.outcome_by_command_id
+
+
 def decide(state, envelope, index):
     """Return the outcome of a command seen for the first time."""
     try:
--- a/hingepitch/planner/platform.py
+++ b/hingepitch/planner/platform.py
@@ -8,13 +8,9 @@
 :license: BSD, see LICENSE for details.
 """
 
-import json
-
-from geventhttpclient import HTTPClient
-
 from hingepitch.error import HingepitchError
+from hingepitch.jsoncall import call_json
 from hingepitch.planner.view import PlatformView, PlatformVm, Task, TaskState
-from hingepitch.setting import parse_address
 
 __all__ = ["PlatformClient"]
 
@@ -33,28 +29,19 @@
     """
 
     def __init__(self, address):
-        host, port = parse_address(address)
-        self.client = HTTPClient(
-            host,
-            port,
-            concurrency=4,
-            connection_timeout=TIMEOUT_SECONDS,
-            network_timeout=TIMEOUT_SECONDS,
-        )
+        self.address = address
 
     def call(self, method, path, body=None):
         """Return the JSON answer."""
-        data = b"" if body is None else json.dumps(body).encode()
-        headers = {"Content-Type": "application/json"}
         try:
-            response = self.client.request(method, path, body=data, headers=headers)
-            answer = response.read()
-        except (OSError, ValueError) as error:
-            raise HingepitchError("platform_failed", repr(error)) from None
-        if response.status_code >= 300:
-            detail = f"{path}: status {response.status_code}"
-            raise HingepitchError("platform_failed", detail)
-        return json.loads(answer)
+            status, answer = call_json(
+                self.address, method, path, body, timeout_seconds=TIMEOUT_SECONDS
+            )
+        except HingepitchError as error:
+            raise HingepitchError("platform_failed", error.detail) from None
+        if status >= 300:
+            raise HingepitchError("platform_failed", f"{path}: status {status}")
+        return answer
 
     def view(self, unhealthy_since_by_vm, now):
         """Return the present view, keeping since when VMs are unhealthy."""
--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -24,6 +24,9 @@
 
 import yaml
 
+from hingepitch.admin.client import AdminClient, AdminSettings
+from standin.relay import Relay
+
 SHARED_KEY = "a-key-for-this-machine-only"
 START_SECONDS = 20.0
 STOP_SECONDS = 15.0
@@ -116,6 +119,8 @@
         VMs of each partner, four to a rack, over four halls. Default: 8.
     `lease_seconds`
         Lease of an entry. Default: 2.
+    `with_relays`
+        Whether every call to a replica passes a relay that can be cut.
     """
 
     def __init__(
@@ -127,6 +132,7 @@
         lease_seconds=2.0,
         reboot_seconds=0.3,
         lag_seconds=0.2,
+        with_relays=False,
     ):
         self.folder = Path(tempfile.mkdtemp(prefix="hingepitch-"))
         self.lease_seconds = lease_seconds
@@ -142,11 +148,46 @@
         self.rpc_by_name = {
             name: f"127.0.0.1:{next(ports)}" for name in self.replica_names
         }
-        self.rpc_for_peers = dict(self.rpc_by_name)
+        self.relay_by_pair = {}
+        if with_relays:
+            self.make_relays(names)
         self.platform = f"127.0.0.1:{next(ports)}"
         self.service_ports = {"prescriptions": next(ports), "journeys": next(ports)}
         self.vm_documents = list(self.make_vms(vms))
 
+    # The network.
+
+    def make_relays(self, names):
+        """Make a relay from every process to every other replica."""
+        for sender in names:
+            for receiver in self.replica_names:
+                if sender != receiver:
+                    relay = Relay(self.rpc_by_name[receiver])
+                    self.relay_by_pair[sender, receiver] = relay
+
+    def rpc_address(self, sender, receiver):
+        """Return the address at which `sender` reaches a replica."""
+        relay = self.relay_by_pair.get((sender, receiver))
+        return relay.address if relay else self.rpc_by_name[receiver]
+
+    def control_addresses(self, sender):
+        """Return the addresses of all replicas for `sender`."""
+        return [self.rpc_address(sender, name) for name in self.replica_names]
+
+    def relays_of(self, name):
+        """Return the relays from and to a process."""
+        return [relay for pair, relay in self.relay_by_pair.items() if name in pair]
+
+    def cut_off(self, name):
+        """Cut a process off from all replicas, silently."""
+        for relay in self.relays_of(name):
+            relay.cut()
+
+    def reconnect(self, name):
+        """End the cut of a process."""
+        for relay in self.relays_of(name):
+            relay.heal()
+
     # What the stand-in world holds.
 
     def make_vms(self, count):
@@ -231,7 +272,7 @@
         """Return the settings that every daemon has."""
         return {
             "name": name,
-            "hall": f"hall-{int(name[1:]) % 4 + 1}",
+            "hall": f"hall-{(int(name[1:]) - 1) % 4 + 1}",
             "http_address": self.http_by_name[name],
             "shared_key": SHARED_KEY,
         }
@@ -246,8 +287,8 @@
             "peers": [
                 {
                     "name": peer,
-                    "address": self.rpc_for_peers[peer],
-                    "hall": f"hall-{int(peer[1:]) % 4 + 1}",
+                    "address": self.rpc_address(name, peer),
+                    "hall": f"hall-{(int(peer[1:]) - 1) % 4 + 1}",
                 }
                 for peer in self.replica_names
             ],
@@ -263,14 +304,15 @@
 
     def make_processes(self):
         """Write all settings files and make the processes."""
-        control = [self.rpc_for_peers[name] for name in self.replica_names]
         for name in self.replica_names:
             self.add("control", name, self.control_settings(name))
         for name in self.entry_names:
             settings = {**self.common_settings(name), "drain_seconds": 0.2}
-            self.add("entry", name, {**settings, "control": control})
+            settings["control"] = self.control_addresses(name)
+            self.add("entry", name, settings)
         for name in self.planner_names:
-            settings = {**self.common_settings(name), "control": control}
+            settings = self.common_settings(name)
+            settings["control"] = self.control_addresses(name)
             settings |= {"platform": self.platform, "lease_seconds": 2}
             settings |= {"pass_seconds": 0.05, "lost_after_seconds": 0.5}
             self.add("planner", name, settings)
@@ -371,6 +413,8 @@
             if process.is_running():
                 process.signal(signal.SIGCONT)
                 process.kill()
+        for relay in self.relay_by_pair.values():
+            relay.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def __enter__(self):
@@ -397,8 +441,6 @@
 
     def client(self, partner):
         """Return an `AdminClient` of a partner's operator."""
-        from hingepitch.admin.client import AdminClient, AdminSettings
-
         return AdminClient(
             AdminSettings(
                 control=[self.http_by_name[name] for name in self.replica_names],
--- a/standin/world.py
+++ b/standin/world.py
@@ -114,6 +114,7 @@
         self.task_by_name = {}
         self.reboots_seen = set()
         self.reboots = []
+        self.idle_before_reboot_by_vm = {}
         self.group_by_vm = {vm["name"]: vm["group"] for vm in document["vms"]}
         self.down_now = Counter()
         self.most_down_by_group = Counter()
@@ -160,6 +161,9 @@
 
     def reboot(self, vm):
         """Reboot a VM."""
+        last = self.last_by_vm.get(vm.name)
+        if last is not None:
+            self.idle_before_reboot_by_vm[vm.name] = time.monotonic() - last
         vm.healthy = False
         group = self.group_by_vm[vm.name]
         self.down_now[group] += 1
@@ -281,14 +285,11 @@
     def on_get_counts(self, req, resp):
         """Answer what was counted."""
         world = self.world
-        now = time.monotonic()
         resp.media = {
             "ran": dict(world.ran_by_name),
             "ran_by_vm": dict(world.ran_by_vm),
-            "idle_seconds_by_vm": {
-                name: now - at for name, at in world.last_by_vm.items()
-            },
             "reboots": world.reboots,
+            "idle_before_reboot_by_vm": world.idle_before_reboot_by_vm,
             "most_down_by_group": dict(world.most_down_by_group),
             "cut": world.cut,
         }
