--- a/hingepitch/admin/client.py
+++ b/hingepitch/admin/client.py
@@ -20,6 +20,7 @@
 #: A replica that is frozen holds an operator up for this long.
 TIMEOUT_SECONDS = 6.0
 PAUSE_SECONDS = 0.2
+WAIT_SECONDS = 3.0
 GIVE_UP_SECONDS = 30.0
 
 #: Codes after which another replica is asked, with the same command id.
@@ -87,10 +88,11 @@
     def wait_in_force(self, version, seconds=10.0):
         """Wait until `version` is in force everywhere; return whether it is."""
         deadline = time.monotonic() + seconds
-        while time.monotonic() < deadline:
-            if self.call("GET", f"/v1/in-force/{version}")["in_force"]:
+        while (left := deadline - time.monotonic()) > 0:
+            wait_ms = int(min(left, WAIT_SECONDS) * 1000)
+            path = f"/v1/in-force/{version}?wait_ms={wait_ms}"
+            if self.call("GET", path)["in_force"]:
                 return True
-            time.sleep(0.01)
         return False
 
 
--- a/hingepitch/control/consensus.py
+++ b/hingepitch/control/consensus.py
@@ -44,13 +44,13 @@
 __all__ = ["Consensus", "decode_members", "encode_members"]
 
 #: Ticks without a leader before an election; drawn anew each time.
-ELECTION_TICKS = (12, 24)
+ELECTION_TICKS = (6, 12)
 
 #: Ticks between the rounds of a leader.
-HEARTBEAT_TICKS = 3
+HEARTBEAT_TICKS = 2
 
 #: Ticks after which a snapshot that was not acknowledged is sent again.
-SNAPSHOT_RETRY_TICKS = 100
+SNAPSHOT_RETRY_TICKS = 50
 
 #: Entries in one message, and their bytes together.
 MAX_ENTRIES = 512
--- a/hingepitch/control/handler.py
+++ b/hingepitch/control/handler.py
@@ -22,6 +22,9 @@
 LONGEST_WAIT_SECONDS = 30.0
 DEADLINE_GRACE_SECONDS = 1.0
 
+#: A lease also runs out when nobody says anything.
+IN_FORCE_STEP_SECONDS = 0.1
+
 
 class ControlHandler:
     """The methods of the Control service.
@@ -62,6 +65,25 @@
             self.longest_request_seconds(),
         )
 
+    def is_in_force(self, version, wait_ms):
+        """Whether no entry works by a state older than `version`.
+
+        Only changes that entries need to know are in their feed; any other
+        is in force once it is committed.
+        """
+        deadline = lease_seconds() + min(wait_ms / 1000, LONGEST_WAIT_SECONDS)
+        while True:
+            self.on_leader(self.replica.confirm)
+            state = self.replica.state
+            needed = min(version, state.feed_by_name["routing"].version)
+            entries = state.by_kind["entry"]
+            if self.roster.is_in_force(entries, needed, lease_seconds()):
+                return True
+            left = deadline - lease_seconds()
+            if left <= 0:
+                return False
+            self.roster.heard.wait(min(left, IN_FORCE_STEP_SECONDS))
+
     def longest_request_seconds(self):
         """Return the longest time that a request may be in flight."""
         services = self.replica.state.by_kind["service"].values()
--- a/hingepitch/control/operator.py
+++ b/hingepitch/control/operator.py
@@ -216,15 +216,9 @@
     def on_get_in_force(self, req, resp, version):
         """Answer whether a version is in force at every entry."""
         self.authenticator.operator(req)
-        if not self.replica.is_leader:
-            raise HingepitchError("not_leader", retry_after_ms=100)
-        self.replica.confirm()
-        # Only changes that entries need to know are counted by their feed.
-        newest = self.replica.state.feed_by_name["routing"].version
-        entries = self.replica.state.by_kind["entry"]
-        in_force = self.roster.is_in_force(
-            entries, min(version, newest), lease_seconds()
-        )
+        wait_ms = req.get_param_as_int("wait_ms", min_value=0, default=0)
+        wait_ms = min(wait_ms, int(LONGEST_WAIT_SECONDS * 1000))
+        in_force = self.group.call("is_in_force", version, wait_ms)
         resp.media = {"version": version, "in_force": in_force}
 
     def on_get_members(self, req, resp):
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -51,7 +51,7 @@
 
 __all__ = ["Replica"]
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.1
 MAX_PROPOSALS_IN_STEP = 512
 PROPOSE_SECONDS = 4.0
 READ_SECONDS = 2.0
--- a/hingepitch/control/roster.py
+++ b/hingepitch/control/roster.py
@@ -11,6 +11,8 @@
 
 from dataclasses import dataclass, field
 
+from gevent.event import Event
+
 __all__ = ["EntryStatus", "Roster"]
 
 #: Allowance for clocks that run at different speeds.
@@ -40,6 +42,7 @@
         self.lease_seconds = lease_seconds
         self.status_by_entry = {}
         self.took_over_at = 0.0
+        self.heard = Event()
 
     def take_over(self, now):
         """Forget everything; this replica now leads."""
@@ -63,6 +66,8 @@
         status = self.status_of(entry)
         status.confirmed_version = confirmed_version
         status.in_flight_by_vm = dict(in_flight_by_vm)
+        self.heard.set()
+        self.heard = Event()
 
     def grant(self, entry, now):
         """Note that the lease of an entry is renewed at `now`."""
--- a/hingepitch/entry/claim.py
+++ b/hingepitch/entry/claim.py
@@ -27,6 +27,7 @@
 
 BACKGROUND_SECONDS = 30.0
 RETRY_AFTER_MS = 1000
+LONG_RETRY_AFTER_MS = 60_000
 
 
 def digest_of(request):
@@ -72,8 +73,13 @@
             return outcome.claim
         if outcome.claim and outcome.claim.state is ClaimState.ANSWERED:
             return self.recorded_answer(outcome.claim)
-        retry = RETRY_AFTER_MS if outcome.code == "key_in_progress" else None
-        return Failure(outcome.code, Run.UNKNOWN, outcome.detail, retry)
+        if outcome.code == "key_in_progress":
+            run, retry = Run.UNKNOWN, RETRY_AFTER_MS
+        elif outcome.code == "queue_full":
+            run, retry = Run.NOT_RUN, LONG_RETRY_AFTER_MS
+        else:
+            run, retry = Run.UNKNOWN, None
+        return Failure(outcome.code, run, outcome.detail, retry)
 
     def recorded_answer(self, claim):
         """Return the answer that was recorded for a claim."""
--- a/hingepitch/gen/control/Control.py
+++ b/hingepitch/gen/control/Control.py
@@ -72,6 +72,15 @@
         """
         pass
 
+    def is_in_force(self, version, wait_ms):
+        """
+        Parameters:
+         - version
+         - wait_ms
+
+        """
+        pass
+
     def read_index(self):
         pass
 
@@ -315,6 +324,42 @@
             raise result.refused
         raise TApplicationException(TApplicationException.MISSING_RESULT, "is_drained failed: unknown result")
 
+    def is_in_force(self, version, wait_ms):
+        """
+        Parameters:
+         - version
+         - wait_ms
+
+        """
+        self.send_is_in_force(version, wait_ms)
+        return self.recv_is_in_force()
+
+    def send_is_in_force(self, version, wait_ms):
+        self._oprot.writeMessageBegin('is_in_force', TMessageType.CALL, self._seqid)
+        args = is_in_force_args()
+        args.version = version
+        args.wait_ms = wait_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_is_in_force(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = is_in_force_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refused is not None:
+            raise result.refused
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "is_in_force failed: unknown result")
+
     def read_index(self):
         self.send_read_index()
         return self.recv_read_index()
@@ -355,6 +400,7 @@
         self._processMap["sync"] = Processor.process_sync
         self._processMap["watch"] = Processor.process_watch
         self._processMap["is_drained"] = Processor.process_is_drained
+        self._processMap["is_in_force"] = Processor.process_is_in_force
         self._processMap["read_index"] = Processor.process_read_index
         self._on_message_begin = None
 
@@ -560,6 +606,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_is_in_force(self, seqid, iprot, oprot):
+        args = is_in_force_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = is_in_force_result()
+        try:
+            result.success = self._handler.is_in_force(args.version, args.wait_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except Refused as refused:
+            msg_type = TMessageType.REPLY
+            result.refused = refused
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("is_in_force", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_read_index(self, seqid, iprot, oprot):
         args = read_index_args()
         args.read(iprot)
@@ -1529,6 +1601,153 @@
 )
 
 
+class is_in_force_args(object):
+    """
+    Attributes:
+     - version
+     - wait_ms
+
+    """
+
+
+    def __init__(self, version=None, wait_ms=None,):
+        self.version = version
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('is_in_force_args')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(is_in_force_args)
+is_in_force_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+)
+
+
+class is_in_force_result(object):
+    """
+    Attributes:
+     - success
+     - refused
+
+    """
+
+
+    def __init__(self, success=None, refused=None,):
+        self.success = success
+        self.refused = refused
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('is_in_force_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(is_in_force_result)
+is_in_force_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+)
+
+
 class read_index_args(object):
 
 
--- a/hingepitch/model/apply.py
+++ b/hingepitch/model/apply.py
@@ -42,6 +42,16 @@
 #: How long an answered claim is kept after its request was claimed.
 CLAIM_RETENTION_SECONDS = 24 * 3600
 
+#: Claims kept before answered ones go earlier, but not before this age.
+MAX_CLAIMS = 50_000
+MIN_CLAIM_RETENTION_SECONDS = 3600
+
+#: With so many claims, new ones are refused: the young ones must stay.
+REFUSE_CLAIMS_ABOVE = 2 * MAX_CLAIMS
+
+#: Jobs kept after their end.
+MAX_ENDED_JOBS = 20_000
+
 #: A claim older than the deadline by this much has an unknown outcome.
 CLAIM_GRACE_SECONDS = 2
 
@@ -76,6 +86,7 @@
     if command_id:
         remember_outcome(state, command_id, outcome)
     expire_claims(state, index)
+    forget_ended_jobs(state, index)
     return outcome
 
 
@@ -425,6 +436,8 @@
     key = claim_key(command.service, command.key)
     claim = state.get("claim", key)
     if claim is None:
+        if len(state.by_kind["claim"]) >= REFUSE_CLAIMS_ABOVE:
+            raise Refusal("queue_full", "too many claims are kept")
         fresh = Claim(
             service=command.service,
             key=command.key,
@@ -475,15 +488,31 @@
 
 def expire_claims(state, index):
     """Drop answered claims past their retention; open ones stay."""
-    horizon = state.now_seconds - CLAIM_RETENTION_SECONDS
-    while state.claims_by_age and state.claims_by_age[0][0] < horizon:
-        _, key, version = state.claims_by_age.popleft()
+    while state.claims_by_age:
+        at_seconds, key, version = state.claims_by_age[0]
+        age_seconds = state.now_seconds - at_seconds
+        if age_seconds <= claim_retention_seconds(state):
+            return
+        state.claims_by_age.popleft()
         claim = state.get("claim", key)
         if claim is not None and claim.version == version:
             if claim.state is ClaimState.ANSWERED:
                 state.drop("claim", key, index)
 
 
+def claim_retention_seconds(state):
+    """Return how long answered claims are kept, with as many as there are."""
+    if len(state.by_kind["claim"]) > MAX_CLAIMS:
+        return MIN_CLAIM_RETENTION_SECONDS
+    return CLAIM_RETENTION_SECONDS
+
+
+def forget_ended_jobs(state, index):
+    """Drop the jobs that ended the longest ago, beyond the number kept."""
+    while len(state.ended_job_by_name) > MAX_ENDED_JOBS:
+        state.drop("job", next(iter(state.ended_job_by_name)), index)
+
+
 @apply_command.register
 def _(command: commands.SubmitJob, state, envelope, index):
     team = need(state, "team", command.team, envelope.partner)
--- a/hingepitch/model/state.py
+++ b/hingepitch/model/state.py
@@ -86,6 +86,7 @@
         self.jobs_by_team = Index()
         self.waiting_job_by_name = {}
         self.waiting_by_team = Index()
+        self.ended_job_by_name = {}
         self.claims_by_age = deque()
         self.feed_by_name = {
             "routing": Feed(ROUTING_KINDS),
@@ -135,6 +136,8 @@
             elif record.state is JobState.WAITING:
                 self.waiting_job_by_name[key] = record
                 self.waiting_by_team.add(record.team, key, record)
+            else:
+                self.ended_job_by_name[key] = record
         elif kind == "claim" and record.version:
             self.claims_by_age.append((record.at_seconds, key, record.version))
 
@@ -150,6 +153,7 @@
             self.jobs_by_team.remove(record.team, key)
             self.waiting_job_by_name.pop(key, None)
             self.waiting_by_team.remove(record.team, key)
+            self.ended_job_by_name.pop(key, None)
 
     def minions(self, service):
         """Yield the VMs that carry `service`, whatever their life."""
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -72,6 +72,11 @@
   // flight, at every entry.
   bool is_drained(1: string vm) throws (1: Refused refused),
 
+  // Whether no entry works by a state older than a version; waits a while
+  // for that to come true.
+  bool is_in_force(1: i64 version, 2: i32 wait_ms)
+    throws (1: Refused refused),
+
   // An index; a state that has applied it is as new as the leader's was when
   // the call came.
   i64 read_index() throws (1: Refused refused),
--- a/standin/capacity.py
+++ b/standin/capacity.py
@@ -89,6 +89,7 @@
     """Yield slopes of a planning pass and of following, against VMs."""
     titles = (
         ("a pass over waves, drains, moves, health", "ms"),
+        ("a pass over one touched pool", "ms"),
         ("a pass placing 100 jobs", "ms"),
         ("a snapshot encoded", "ms"),
         ("a full copy for an entry", "bytes"),
@@ -105,7 +106,8 @@
     vms = len(builder.state.by_kind["vm"])
     view = builder.view()
     builder.add_campaigns()
-    wave = best_seconds(lambda: plan_fleet(builder, view))
+    wave = best_seconds(lambda: plan_fleet(builder, view, list(builder.pools())))
+    touched = best_seconds(lambda: plan_fleet(builder, view, ["pool-1"]))
     for number in range(100):
         builder.add_job(number, round(POOLS * part), round(TEAMS * part))
     jobs = best_seconds(lambda: plan_placement(builder))
@@ -113,14 +115,20 @@
     version, _, changes = builder.state.changes_since("routing", -1)
     data = encode_changes(changes)
     copy = best_seconds(lambda: follow(data, version))
-    values = (1000 * wave, 1000 * jobs, 1000 * encode, len(data), 1000 * copy)
+    values = (
+        1000 * wave,
+        1000 * touched,
+        1000 * jobs,
+        1000 * encode,
+        len(data),
+        1000 * copy,
+    )
     return [(vms, value) for value in values]
 
 
-def plan_fleet(builder, view):
-    """Make one plan of everything but jobs."""
+def plan_fleet(builder, view, pools):
+    """Make one plan of everything but jobs, for some pools."""
     state = builder.state
-    pools = list(state.by_kind["pool"])
     list(plan_health(state, view, 0.0, 2.0))
     list(plan_drains(state, view))
     list(plan_moves(state, view, pools))
@@ -129,7 +137,7 @@
 
 def plan_placement(builder):
     """Make one plan of the waiting jobs."""
-    list(plan_jobs(builder.state, lambda vm: False, builder.state.by_kind["pool"]))
+    list(plan_jobs(builder.state, lambda vm: False, builder.pools()))
 
 
 def follow(data, version):
--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -28,6 +28,8 @@
 from standin.relay import Relay
 
 SHARED_KEY = "a-key-for-this-machine-only"
+FIRST_PORT = 10_000
+PORT_RANGE = 20_000
 START_SECONDS = 20.0
 STOP_SECONDS = 15.0
 TOKEN_BY_PARTNER = {"prescriptions": "token-of-amal", "journeys": "token-of-joris"}
@@ -36,16 +38,24 @@
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def free_ports(count, ip="127.0.0.1"):
-    """Return `count` ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((ip, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+def free_ports(count):
+    """Return `count` ports that are free now.
+
+    They lie below the range that outgoing connections take theirs from.
+    """
+    first = FIRST_PORT + os.getpid() * 97 % PORT_RANGE
+    found = []
+    for number in range(PORT_RANGE):
+        port = FIRST_PORT + (first + number) % PORT_RANGE
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+        if len(found) == count:
+            return found
+    raise OSError("no free ports")
 
 
 def http_call(address, method, path, body=None, headers=None, timeout=10.0):
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -116,6 +116,10 @@
         for partner in PARTNERS:
             self.send(commands.PutCampaign(f"campaign-{partner}"), partner=partner)
 
+    def pools(self):
+        """Return the names of all pools."""
+        return self.state.by_kind["pool"]
+
     def view(self):
         """Return a view in which every VM is healthy."""
         names = self.state.by_kind["vm"]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -231,6 +231,31 @@
     assert fleet.state.by_kind["claim"] == {}
 
 
+def test_many_claims_shorten_the_retention_and_then_refuse(monkeypatch):
+    monkeypatch.setattr(apply_module, "MAX_CLAIMS", 3)
+    monkeypatch.setattr(apply_module, "REFUSE_CLAIMS_ABOVE", 5)
+    fleet = Fleet()
+    for number in range(5):
+        key = f"k{number}"
+        opened = fleet.send(Role.ENTRY, commands.OpenClaim("s", key, "d", "e")).claim
+        fleet.send(Role.ENTRY, commands.CloseClaim("s", key, opened.version, 200))
+    more = commands.OpenClaim("s", "more", "d", "e")
+    assert fleet.send(Role.ENTRY, more).code == "queue_full"
+    later = apply_module.MIN_CLAIM_RETENTION_SECONDS + 1
+    fleet.send(Role.ENTRY, commands.JoinEntry("e", "h"), at_seconds=later)
+    assert len(fleet.state.by_kind["claim"]) == 3
+    assert fleet.send(Role.ENTRY, more, at_seconds=later).accepted
+
+
+def test_ended_jobs_are_kept_up_to_a_number(monkeypatch):
+    monkeypatch.setattr(apply_module, "MAX_ENDED_JOBS", 2)
+    fleet = Fleet()
+    for number in range(4):
+        submit(fleet, f"j{number}")
+        fleet.operator(commands.CancelJobs([f"j{number}"]))
+    assert list(fleet.state.by_kind["job"]) == ["j2", "j3"]
+
+
 def test_open_claim_is_never_dropped():
     fleet = Fleet()
     fleet.send(Role.ENTRY, commands.OpenClaim("s", "k", "d", "e1"))
