--- a/hingepitch/entry/caller.py
+++ b/hingepitch/entry/caller.py
@@ -124,8 +124,11 @@
 
 
 def read_body(req, limit):
-    """Return the whole body; raise `body_too_large`."""
-    body = req.bounded_stream.read(limit + 1) if has_body(req) else b""
+    """Return the whole body; raise `body_too_large` or `bad_framing`."""
+    try:
+        body = req.bounded_stream.read(limit + 1) if has_body(req) else b""
+    except OSError as error:
+        raise HingepitchError("bad_framing", f"the body: {error}") from None
     if len(body) > limit:
         raise HingepitchError("body_too_large", f"over {limit} bytes")
     if req.content_length is not None and len(body) < req.content_length:
--- a/hingepitch/entry/exchange.py
+++ b/hingepitch/entry/exchange.py
@@ -9,10 +9,10 @@
 """
 
 import select
-import socket
 from collections import deque
 
 import gevent
+from gevent import socket
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from hingepitch.clock import lease_seconds
