--- a/hingepitch/control/audit.py
+++ b/hingepitch/control/audit.py
@@ -128,6 +128,6 @@
 
     def close(self):
         """Close the file."""
-        if self.file is not None:
-            self.file.close()
-            self.file = None
+        file, self.file = self.file, None
+        if file is not None:
+            file.close()
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -92,8 +92,7 @@
             if hasattr(self, name):
                 getattr(self, name).stop()
         if hasattr(self, "replica"):
-            self.replica.audit.close()
-            self.replica.storage.close()
+            self.replica.close()
 
     def address_of(self, identity):
         """Return the address of a replica, or None."""
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -54,6 +54,7 @@
 TICK_SECONDS = 0.1
 MAX_PROPOSALS_IN_STEP = 512
 PROPOSE_SECONDS = 4.0
+PAUSE_AFTER_FAULT_SECONDS = 1.0
 READ_SECONDS = 2.0
 
 #: Entries applied between two snapshots, and kept in memory behind one.
@@ -91,6 +92,7 @@
         self.reads_waiting = []
         self.commands_applied = 0
         self.storage_fault = ""
+        self.must_reopen = False
 
     # Life cycle.
 
@@ -109,16 +111,29 @@
         self.wake_followers()
 
     def run(self):
-        """Handle events until killed."""
+        """Handle events until killed.
+
+        After any failure the core may be ahead of the disk, so everything
+        starts anew from the disk, which has all that was acknowledged.
+        """
         while True:
-            self.arrived.wait()
-            self.arrived.clear()
             try:
-                self.handle_events()
-            except HingepitchError as error:
-                if error.code != "storage_failed":
+                if self.must_reopen:
+                    self.reopen()
+                self.must_reopen = True
+                self.handle_forever()
+            except (HingepitchError, OSError) as error:
+                if getattr(error, "code", "storage_failed") != "storage_failed":
                     raise
-                self.survive_storage_fault(error)
+                self.note_storage_fault(error)
+                gevent.sleep(PAUSE_AFTER_FAULT_SECONDS)
+
+    def handle_forever(self):
+        """Handle events as they come."""
+        while True:
+            self.arrived.wait()
+            self.arrived.clear()
+            self.handle_events()
 
     def tick(self):
         """Give the core its ticks until killed."""
@@ -126,17 +141,30 @@
             gevent.sleep(TICK_SECONDS)
             self.put(Tick())
 
-    def survive_storage_fault(self, error):
-        """Start anew from the disk, which has everything acknowledged."""
-        log_event("storage_failed", error=error.detail)
-        self.storage_fault = error.detail
+    def note_storage_fault(self, error):
+        """Log a fault of the data folder, and tell who waits."""
+        log_event("storage_failed", error=str(error))
+        self.storage_fault = str(error)
         self.fail_waiters("storage_failed")
+
+    def reopen(self):
+        """Start anew from the disk; raise if it cannot be written."""
+        self.fail_waiters("restarted")
         self.inbox.clear()
-        gevent.sleep(1.0)
-        self.storage.close()
+        self.close()
         self.storage = type(self.storage)(self.storage.folder, self.storage.name)
-        self.audit.close()
+        self.audit = type(self.audit)(self.storage.folder)
         self.open()
+        self.storage.write(self.storage.vote, [])
+        self.storage_fault = ""
+
+    def close(self):
+        """Close the files; what cannot be flushed is cut at the next start."""
+        for part in (self.audit, self.storage):
+            try:
+                part.close()
+            except OSError as error:
+                log_event("storage_failed", error=str(error))
 
     def put(self, event):
         """Queue an event for the core."""
@@ -263,7 +291,6 @@
         """Write a vote and entries, if there are any."""
         if vote is not None or entries:
             self.storage.write(vote, entries)
-            self.storage_fault = ""
 
     def act(self, action):
         """Carry out one action that needs no disk."""
--- a/hingepitch/control/storage.py
+++ b/hingepitch/control/storage.py
@@ -128,8 +128,19 @@
 
 
 def run_off_loop(function, *arguments):
-    """Run a blocking function in the thread pool; return its result."""
-    return gevent.get_hub().threadpool.apply(function, arguments)
+    """Run a blocking function in the thread pool; raise its OSError here."""
+    error = gevent.get_hub().threadpool.apply(catch_os_error, (function, arguments))
+    if error is not None:
+        raise error
+
+
+def catch_os_error(function, arguments):
+    """Return the OSError of a call as a value: the pool would print it."""
+    try:
+        function(*arguments)
+    except OSError as error:
+        return error
+    return None
 
 
 class Storage:
@@ -364,8 +375,8 @@
 
     def close(self):
         """Close the files and give the lock back."""
-        if self.segment is not None:
-            self.segment.close()
-        if self.lock_file is not None:
-            self.lock_file.close()
-            self.lock_file = None
+        segment, self.segment = self.segment, None
+        lock_file, self.lock_file = self.lock_file, None
+        for file in (segment, lock_file):
+            if file is not None:
+                file.close()
--- a/tests/features/budget.feature
+++ b/tests/features/budget.feature
@@ -38,3 +38,13 @@
     Then that is refused as forbidden
     And every VM is maintained
     And no more than 1 VM of journeys was down after the shrinking
+
+  Scenario: A rack is lost in mid-wave
+    Given a running system
+    When both partners start a maintenance campaign
+    And the rack p-rack-2 is lost after 2 reboots
+    Then every VM of journeys is maintained
+    And no VM of prescriptions is rebooted while the rack is lost
+    When the rack p-rack-2 comes back
+    Then every VM is maintained
+    And no partner had more VMs down than its budget
--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -61,3 +61,14 @@
     And a replica takes over
     And prescriptions changes the service eligibility
     Then the change is in force everywhere within 5 seconds
+
+  Scenario: The disk of the leader is full for a while
+    Given a running system
+    And every replica is watched for versions
+    When the disk of the leader is full
+    And both partners send 20 changes each, resending lost answers
+    Then every accepted change is there once
+    And the replica with the full disk is not healthy
+    When the disk has room again
+    Then the replica with the full disk catches up and is healthy
+    And no observer saw a version fall
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -258,6 +258,10 @@
             if self.cluster.partner_of(vm) == partner
         ]
 
+    def vms_in(self, rack):
+        documents = self.cluster.vm_documents
+        return [vm["name"] for vm in documents if vm["rack"] == rack]
+
     def healthz(self, name):
         address = self.cluster.http_by_name[name]
         return http_call(address, "GET", "/healthz")[0]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,5 +1,6 @@
 """The promises under failure, on real processes."""
 
+import resource
 import signal
 import threading
 
@@ -182,6 +183,26 @@
         scene.cluster.wait_entries()
 
 
+@when("the disk of the leader is full")
+def fill_disk(scene):
+    name = scene.cluster.wait_leader()
+    scene.marks["full"] = name
+    segments = (scene.cluster.folder / f"data-{name}").glob("segment-*")
+    size = max(path.stat().st_size for path in segments)
+    limit_file_size(scene, size)
+
+
+@when("the disk has room again")
+def free_disk(scene):
+    limit_file_size(scene, resource.RLIM_INFINITY)
+
+
+def limit_file_size(scene, size):
+    """Let the marked replica write no file beyond `size` bytes."""
+    pid = scene.process(scene.marks["full"]).popen.pid
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+
+
 # When: VMs and minions.
 
 
@@ -191,6 +212,31 @@
     wait_for(lambda: scene.cluster.objects("vm")[name]["life"] == "lost")
 
 
+@when(parsers.parse("the rack {rack} is lost after {count:d} reboots"))
+def lose_rack(scene, rack, count):
+    scene.wait_reboots(count)
+    names = scene.vms_in(rack)
+    scene.cluster.world("/lose", {"vms": names})
+
+    def are_lost():
+        vms = scene.cluster.objects("vm")
+        return all(vms[name]["life"] == "lost" for name in names)
+
+    wait_for(are_lost, what="the loss to be seen")
+    wait_for(lambda: down_now(scene, "prescriptions") == names, what="the last return")
+    scene.marks["reboots"] = len(scene.reboots_of("prescriptions"))
+
+
+@then("no VM of prescriptions is rebooted while the rack is lost")
+def none_rebooted_since(scene):
+    assert len(scene.reboots_of("prescriptions")) == scene.marks["reboots"]
+
+
+@when(parsers.parse("the rack {rack} comes back"))
+def recover_rack(scene, rack):
+    scene.cluster.world("/recover", {"vms": scene.vms_in(rack)})
+
+
 @when(parsers.parse("the VM {name} comes back"))
 def recover_vm(scene, name):
     scene.cluster.world("/recover", {"vms": [name]})
@@ -610,6 +656,24 @@
             assert pools[name]["version"] <= version
 
 
+@then("the replica with the full disk is not healthy")
+def full_disk_is_unhealthy(scene):
+    wait_for(lambda: scene.healthz(scene.marks["full"]) == 503)
+
+
+@then("the replica with the full disk catches up and is healthy")
+def full_disk_recovers(scene):
+    name = scene.marks["full"]
+    target = scene.status_of(scene.cluster.wait_leader())["commit_index"]
+
+    def is_back():
+        status = scene.status_of(name)
+        return status and status["applied_index"] >= target
+
+    wait_for(is_back, what="the replica to catch up")
+    wait_for(lambda: scene.healthz(name) == 200, what="its health")
+
+
 @then("the audit trail shows every change once")
 def audited_once(scene):
     rows = scene.cluster.client("journeys").call("GET", "/v1/audit")
