A newcomer's read: no fixed sleeps, no made-up defaults

Cause: tests of the entry slept for a fixed time; `members add` had defaults that look like an address and are none.

Change: the tests wait on a condition; `add` needs name, address and hall. The bench takes 100,000 requests for memory and goes to three times the load.

--- a/hingepitch/admin/program.py
+++ b/hingepitch/admin/program.py
@@ -224,9 +224,9 @@
     action: str = "show",
     identity: str = "",
     *,
-    name: str = "unnamed",
-    address: str = "127.0.0.1:1",
-    hall: str = "unknown",
+    name: str = "",
+    address: str = "",
+    hall: str = "",
     settings: str = DEFAULT_SETTINGS,
 ):
     """Show or change the members of the control group.
@@ -240,13 +240,9 @@
     """
     client = open_client(settings)
     if action != "show":
-        body = {
-            "action": action,
-            "identity": identity,
-            "name": name,
-            "address": address,
-            "hall": hall,
-        }
+        given = {"name": name, "address": address, "hall": hall}
+        body = {"action": action, "identity": identity}
+        body |= {key: value for key, value in given.items() if value}
         client.call("POST", "/v1/members", body)
     answer = client.call("GET", "/v1/members")
     print_rows(answer["members"])
--- a/hingepitch/control/member.py
+++ b/hingepitch/control/member.py
@@ -25,13 +25,15 @@
     `action`
         `add`: a learner; `promote`: a learner that has caught up to a
         voter; `remove`: take a member out.
+    `name`, `address`, `hall`
+        With `add` only, and needed there.
     """
 
     action: Literal["add", "promote", "remove"]
     identity: str
-    name: Name = "unnamed"
-    address: Address = "127.0.0.1:1"
-    hall: Name = "unknown"
+    name: Name | None = None
+    address: Address | None = None
+    hall: Name | None = None
 
 
 def losses_left(voters, alive):
@@ -62,9 +64,14 @@
         return self.status()
 
     def changed(self, form):
-        """Return the members after the change; raise `unknown_object`."""
+        """Return the members after the change.
+
+        Raises `HingepitchError`: `unknown_object`, `bad_request`.
+        """
         by_identity = {member.identity: member for member in self.replica.core.members}
         if form.action == "add":
+            if None in (form.name, form.address, form.hall):
+                raise HingepitchError("bad_request", "add needs name, address, hall")
             fresh = Member(form.identity, form.name, form.address, form.hall, False)
             by_identity.setdefault(form.identity, fresh)
         elif form.identity not in by_identity:
--- a/standin/bench.py
+++ b/standin/bench.py
@@ -41,7 +41,7 @@
 CONNECTIONS = (1, 64, 500)
 CLIENTS = (1, 16, 64)
 TRIALS = 3
-MEMORY_REQUESTS = 20_000
+MEMORY_REQUESTS = 100_000
 GOODPUT_SECONDS = 4.0
 DEADLINE_SECONDS = 10.0
 
@@ -155,7 +155,7 @@
     work = caller(cluster.http_by_name["e2"], "/s/eligibility")
     rows = [("idle", f"{resident_bytes(pid) / 1e6:.1f}")]
     for part in (1, 2):
-        ClosedLoop(32, work).run(60, MEMORY_REQUESTS // 2)
+        ClosedLoop(32, work).run(120, MEMORY_REQUESTS // 2)
         count = part * MEMORY_REQUESTS // 2
         rows.append((f"after {count:,} requests", f"{resident_bytes(pid) / 1e6:.1f}"))
     leader = cluster.process_by_name[cluster.wait_leader()].popen.pid
@@ -287,7 +287,7 @@
     entries = [cluster.http_by_name[name] for name in ("e1", "e2")]
     rows = []
     base = None
-    for load in (0.25, 0.5, 1, 2):
+    for load in (0.25, 0.5, 1, 2, 3):
         test = LoadTest(
             entries, MIX_BY_NAME["checks-only"], capacity * load, GOODPUT_SECONDS
         )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,10 +6,11 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.entry.balance import Balancer, MinionHealth
-from hingepitch.entry.exchange import MinionConnections
+from hingepitch.entry.exchange import MinionConnections, is_readable
 from hingepitch.entry.limit import RetryBudget, SlotQueue
 from hingepitch.entry.proxy import Proxy
 from hingepitch.entry.request import Answer, Failure, Priority, Request, Run
+from hingepitch.httpd import wait_until
 from hingepitch.metric import Metrics
 from hingepitch.model.record import Life, Service, Vm
 from hingepitch.model.state import State
@@ -105,7 +106,8 @@
     fake = minion((answer(b"one"), 0.05, answer(b"stray")), (answer(b"own"),))
     connections = MinionConnections(fake.address)
     assert connections.exchange(request()).body == b"one"
-    gevent.sleep(0.1)
+    idle = connections.idle[0][1]
+    assert wait_until(lambda: is_readable(idle), 2)
     assert connections.exchange(request()).body == b"own"
 
 
@@ -252,7 +254,7 @@
 def test_full_queue_sheds_the_least_urgent_at_once():
     queue = SlotQueue(lambda avoid: None, lambda: 1)
     batch = gevent.spawn(queue.acquire, request(priority=Priority.BATCH))
-    gevent.sleep(0)
+    assert wait_until(lambda: queue.waiting == 1, 2)
     urgent = gevent.spawn(queue.acquire, request(0.05, priority=Priority.URGENT))
     shed = batch.get(timeout=1)
     assert (shed.code, shed.run) == ("overloaded", Run.NOT_RUN)
@@ -267,9 +269,8 @@
     free = []
     queue = SlotQueue(lambda avoid: free.pop() if free else None, lambda: 9)
     normal = gevent.spawn(queue.acquire, request())
-    gevent.sleep(0)
     urgent = gevent.spawn(queue.acquire, request(priority=Priority.URGENT))
-    gevent.sleep(0)
+    assert wait_until(lambda: queue.waiting == 2, 2)
     health = MinionHealth(8.0, in_flight=1)
     free.append(("vm", health))
     queue.release(health)
