An owner can delete a VM that never came back from its reboot

Change: the owner may delete a drained VM, which ends the permit.

Ruled out: ending the permit by a time-out (a promise of the design), and counting overdue reboots as losses in this change (it needs a scenario).

Before: the new test failed with wrong_life. After: it passes, as do the tests of the fleet and the scenario of two planners. The whole suite was not run after this change.

--- a/hingepitch/model/rules/declaration.py
+++ b/hingepitch/model/rules/declaration.py
@@ -110,7 +110,7 @@
         raise Refusal("forbidden", f"a {command.kind} cannot be deleted")
     record = need(state, command.kind, command.name, envelope.partner)
     if command.kind == "vm":
-        check_life(record, Life.LIVE, Life.LOST)
+        check_life(record, Life.LIVE, Life.DRAINED, Life.LOST)
         if record.life is Life.LIVE:
             check_budgets(state, record)
     if command.kind == "pool" and state.vms_by_pool[record.name]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -178,6 +178,19 @@
     assert fleet.state.get("vm", "v0").life is Life.LIVE
 
 
+def test_owner_deletes_a_vm_that_never_came_back_from_its_reboot():
+    fleet = Fleet()
+    fleet.planner(commands.GrantPermit("v0", Purpose.MAINTENANCE, "b0"))
+    delete = commands.Delete("vm", "v0")
+    assert fleet.operator(delete).code == "wrong_life"
+    fleet.planner(commands.MarkDrained("v0"))
+    assert fleet.operator(delete, partner="right").code == "forbidden"
+    assert fleet.operator(delete).accepted
+    assert fleet.state.by_kind["permit"] == {}
+    grant = commands.GrantPermit("v1", Purpose.MAINTENANCE, "b0")
+    assert fleet.planner(grant).accepted
+
+
 def test_a_frozen_planner_is_fenced():
     fleet = Fleet()
     old = fleet.fence
