--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 
 .PHONY: demo test lint format bench capacity idl
 
-$(READY): requirements.lock pyproject.toml
+$(READY): requirements.lock requirements-dev.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q -r requirements-dev.lock
 	$(BIN)/pip install -q --no-deps -e .
 	touch $(READY)
 
--- a/hingepitch/control/handler.py
+++ b/hingepitch/control/handler.py
@@ -12,6 +12,7 @@
 from hingepitch.control.peer import from_wire
 from hingepitch.error import HingepitchError
 from hingepitch.gen.control.ttypes import Changes, Refused
+from hingepitch.jobs.question import decode_question, encode
 from hingepitch.model.codec import decode_envelope, encode_changes, encode_outcome
 from hingepitch.model.command import Envelope, JoinEntry, Role
 
@@ -29,13 +30,14 @@
 class ControlHandler:
     """The methods of the Control service.
 
-    `replica`, `roster`
+    `replica`, `roster`, `jobs`
         The parts that the calls are about.
     """
 
-    def __init__(self, replica, roster):
+    def __init__(self, replica, roster, jobs):
         self.replica = replica
         self.roster = roster
+        self.jobs = jobs
 
     def deliver(self, messages):
         """Take messages of another replica."""
@@ -130,6 +132,11 @@
         now, full, changes = self.replica.state.changes_since(feed_name, version)
         return Changes(now, full, encode_changes(changes))
 
+    def ask(self, question):
+        """Answer a question of `hingepitch.jobs.question`."""
+        decoded = decode_question(question)
+        return encode(self.on_leader(self.jobs.answer, decoded))
+
     def on_leader(self, function, *arguments):
         """Call `function`; name the leader where this replica does not lead."""
         try:
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -16,6 +16,7 @@
 from hingepitch.cmdline import run_command
 from hingepitch.control.audit import AuditTrail
 from hingepitch.control.handler import ControlHandler
+from hingepitch.control.healing import GroupKeeper
 from hingepitch.control.member import MemberChanger
 from hingepitch.control.message import Member
 from hingepitch.control.operator import Authenticator, OperatorApi
@@ -27,7 +28,10 @@
 from hingepitch.error import ExitCode, HingepitchError
 from hingepitch.group import GroupClient
 from hingepitch.httpd import HttpServer, StatusResources, wait_until
+from hingepitch.jobs.roster import MinionRoster
+from hingepitch.jobs.service import JobService
 from hingepitch.metric import Metrics
+from hingepitch.peerbook import PeerBook
 from hingepitch.rpc import RpcServer
 from hingepitch.setting import load_settings
 
@@ -35,6 +39,9 @@
 
 TRANSFER_SECONDS = 2.0
 
+#: Longest wait for an answer while the group is kept complete.
+KEEPER_CALL_SECONDS = 0.8
+
 
 class Control(Application):
     """One replica of the control group, with all its parts."""
@@ -54,32 +61,63 @@
             self.address_of,
             settings.seed,
         )
-        self.replica.open()
-        handler = ControlHandler(self.replica, self.roster)
-        self.rpc = RpcServer(settings.rpc_address, handler, settings.shared_key)
-        group = GroupClient(
+        self.book = PeerBook(
             [settings.rpc_address, *(peer.address for peer in settings.peers)],
-            settings.name,
-            settings.shared_key,
+            settings.data_folder,
+        )
+        self.book.load()
+        self.replica.open()
+        self.group = GroupClient(
+            self.book.addresses(), settings.name, settings.shared_key
         )
+        self.keeper = GroupKeeper(
+            self.replica,
+            self.book,
+            self.make_group(KEEPER_CALL_SECONDS),
+            Member("", settings.name, settings.rpc_address, settings.hall, False),
+            settings.voters,
+        )
+        self.minions = MinionRoster()
+        self.jobs = JobService(self.replica, self.minions, self.keeper, settings.name)
+        handler = ControlHandler(self.replica, self.roster, self.jobs)
+        self.rpc = RpcServer(settings.rpc_address, handler, settings.shared_key)
         self.members = MemberChanger(self.replica)
-        api = OperatorApi(
+        api = self.make_api()
+        StatusResources(self.is_healthy, self.status, self.metrics).add_to(api)
+        self.http = HttpServer(settings.http_address, api)
+
+    def make_group(self, seconds):
+        """Return a client of the group whose calls end after `seconds`."""
+        settings = self.settings
+        return GroupClient(
+            self.book.addresses(), settings.name, settings.shared_key, seconds
+        )
+
+    def make_api(self):
+        """Return the falcon application of this replica."""
+        return OperatorApi(
             self.replica,
             self.roster,
-            group,
-            Authenticator(settings.operators),
+            self.group,
+            Authenticator(self.settings.operators),
             self.members,
         ).make()
-        StatusResources(self.is_healthy, self.status, self.metrics).add_to(api)
-        self.http = HttpServer(settings.http_address, api)
 
     def start(self):
         """Start the children and the servers."""
         self.supervisor.start("replica", self.replica.run)
         self.supervisor.start("ticks", self.replica.tick)
+        self.supervisor.start("book", self.keep_book)
+        self.supervisor.start("announcer", self.keeper.announce)
+        self.supervisor.start("keeper", self.keeper.run)
         self.rpc.start()
         self.http.start()
 
+    def keep_book(self):
+        """Keep the addresses of the replicas, if they may change by themselves."""
+        if self.settings.voters:
+            self.book.keep_fresh(self.keeper.group, self.group)
+
     def drain(self):
         """Hand the leadership to another replica."""
         if self.replica.is_leader:
@@ -103,7 +141,7 @@
         for peer in self.settings.peers:
             if peer.name == name:
                 return peer.address
-        return None
+        return self.book.address_of(identity)
 
     def is_healthy(self):
         """Whether this replica knows a leader and can write."""
--- a/hingepitch/control/settings.py
+++ b/hingepitch/control/settings.py
@@ -38,6 +38,10 @@
         Who may read and change what.
     `lease_seconds`
         Lease of an entry. Default: 3.
+    `voters`
+        Voters that the group keeps up by itself: newcomers join, and those
+        that have caught up replace the ones that are gone. 0: members change
+        only by an operator's hand. Default: 0.
     `seed`
         Seed of the election timeouts. Default: 0.
     """
@@ -48,3 +52,4 @@
     operators: list[OperatorSettings] = []
     lease_seconds: Annotated[float, Field(ge=0.5, le=60)] = 3.0
     seed: int = 0
+    voters: Annotated[int, Field(ge=0, le=9)] = 0
--- a/hingepitch/entry/caller.py
+++ b/hingepitch/entry/caller.py
@@ -9,9 +9,9 @@
 """
 
 from hingepitch.clock import lease_seconds
-from hingepitch.entry.request import Answer, Priority, Request, Run
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import make_api, set_problem
+from hingepitch.request import Answer, Priority, Request, Run
 
 __all__ = ["CallerApi"]
 
--- a/hingepitch/entry/claim.py
+++ b/hingepitch/entry/claim.py
@@ -14,11 +14,11 @@
 import gevent
 
 from hingepitch.clock import lease_seconds
-from hingepitch.entry.request import Answer, Failure, Run
 from hingepitch.error import HingepitchError
 from hingepitch.log import log_event
 from hingepitch.model.command import CloseClaim, Envelope, OpenClaim, ReleaseClaim, Role
 from hingepitch.model.record import ClaimState
+from hingepitch.request import Answer, Failure, Run
 
 __all__ = ["Claimer", "digest_of"]
 
--- a/hingepitch/entry/limit.py
+++ b/hingepitch/entry/limit.py
@@ -18,7 +18,7 @@
 from gevent.event import AsyncResult
 
 from hingepitch.clock import lease_seconds
-from hingepitch.entry.request import Failure, Run
+from hingepitch.request import Failure, Run
 
 __all__ = ["RetryBudget", "SlotQueue"]
 
--- a/hingepitch/entry/proxy.py
+++ b/hingepitch/entry/proxy.py
@@ -11,10 +11,10 @@
 from dataclasses import replace
 
 from hingepitch.clock import lease_seconds
-from hingepitch.entry.exchange import MinionConnections
 from hingepitch.entry.limit import MIN_QUEUE, QUEUE_PER_SLOT, RetryBudget, SlotQueue
-from hingepitch.entry.request import Answer, Failure, Run
+from hingepitch.exchange import MinionConnections
 from hingepitch.model.record import Life
+from hingepitch.request import Answer, Failure, Run
 
 __all__ = ["Proxy"]
 
--- a/hingepitch/entry/exchange.py
+++ b/hingepitch/exchange.py
@@ -1,6 +1,6 @@
 """
-hingepitch.entry.exchange
-~~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.exchange
+~~~~~~~~~~~~~~~~~~~
 
 One request and one answer on one connection to a minion.
 
@@ -16,8 +16,8 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from hingepitch.clock import lease_seconds
-from hingepitch.entry.request import Answer, Failure, Run
 from hingepitch.httpd import check_framing, split_header_block
+from hingepitch.request import Answer, Failure, Run
 
 __all__ = ["MinionConnections"]
 
--- a/hingepitch/gen/control/Control.py
+++ b/hingepitch/gen/control/Control.py
@@ -84,6 +84,14 @@
     def read_index(self):
         pass
 
+    def ask(self, question):
+        """
+        Parameters:
+         - question
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -388,6 +396,40 @@
             raise result.refused
         raise TApplicationException(TApplicationException.MISSING_RESULT, "read_index failed: unknown result")
 
+    def ask(self, question):
+        """
+        Parameters:
+         - question
+
+        """
+        self.send_ask(question)
+        return self.recv_ask()
+
+    def send_ask(self, question):
+        self._oprot.writeMessageBegin('ask', TMessageType.CALL, self._seqid)
+        args = ask_args()
+        args.question = question
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_ask(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = ask_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refused is not None:
+            raise result.refused
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "ask failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -402,6 +444,7 @@
         self._processMap["is_drained"] = Processor.process_is_drained
         self._processMap["is_in_force"] = Processor.process_is_in_force
         self._processMap["read_index"] = Processor.process_read_index
+        self._processMap["ask"] = Processor.process_ask
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -658,6 +701,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_ask(self, seqid, iprot, oprot):
+        args = ask_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = ask_result()
+        try:
+            result.success = self._handler.ask(args.question)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except Refused as refused:
+            msg_type = TMessageType.REPLY
+            result.refused = refused
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("ask", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1862,5 +1931,140 @@
     (0, TType.I64, 'success', None, None, ),  # 0
     (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
 )
+
+
+class ask_args(object):
+    """
+    Attributes:
+     - question
+
+    """
+
+
+    def __init__(self, question=None,):
+        self.question = question
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.question = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ask_args')
+        if self.question is not None:
+            oprot.writeFieldBegin('question', TType.STRING, 1)
+            oprot.writeBinary(self.question)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(ask_args)
+ask_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'question', 'BINARY', None, ),  # 1
+)
+
+
+class ask_result(object):
+    """
+    Attributes:
+     - success
+     - refused
+
+    """
+
+
+    def __init__(self, success=None, refused=None,):
+        self.success = success
+        self.refused = refused
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRING:
+                    self.success = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ask_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRING, 0)
+            oprot.writeBinary(self.success)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(ask_result)
+ask_result.thrift_spec = (
+    (0, TType.STRING, 'success', 'BINARY', None, ),  # 0
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/hingepitch/group.py
+++ b/hingepitch/group.py
@@ -49,6 +49,19 @@
         self.preferred = self.addresses[0]
         self.misses = 0
 
+    def set_addresses(self, addresses):
+        """Replace the known replicas; connections to others are closed."""
+        self.addresses = list(addresses)
+        for address in self.clients_by_address.keys() - set(addresses):
+            if address != self.preferred:
+                self.drop_clients(address)
+
+    def drop_clients(self, address):
+        """Close the idle connections to `address` and forget them all."""
+        for client in self.clients_by_address.pop(address):
+            if not client.lock.locked():
+                client.close()
+
     def client(self, address):
         """Return a free connection to `address`, or the next in turn."""
         clients = self.clients_by_address.setdefault(address, [])
--- /dev/null
+++ b/hingepitch/jobs/plan.py
@@ -0,0 +1,244 @@
+"""
+hingepitch.jobs.plan
+~~~~~~~~~~~~~~~~~~~~
+
+Which waiting tasks start where: pure functions over the job table.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from hingepitch.jobs.command import Start
+from hingepitch.jobs.record import TaskStatus
+from hingepitch.jobs.spec import TaskKey, longest_chain_ms
+from hingepitch.jobs.table import Room
+
+__all__ = ["Outlook", "plan_starts"]
+
+
+@dataclass(slots=True)
+class Outlook:
+    """What the leader knows beyond the table.
+
+    `usable`
+        Lives of minions that may take new runs now.
+    `doubt_by_minion`
+        How much a minion is to be avoided, 0 to 1, by what it did lately.
+    `permitted_by_step`
+        Lives that may run a step, where its queue needs permission.
+    """
+
+    now_ms: int
+    usable: set[str]
+    doubt_by_minion: dict[str, float] = field(default_factory=dict)
+    permitted_by_step: dict[tuple, set[str]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Pass:
+    """The working copy of one planning pass."""
+
+    table: object
+    outlook: Outlook
+    minions_by_pool: dict[str, list] = field(default_factory=dict)
+    room_by_minion: dict[str, Room] = field(default_factory=dict)
+    placed_by_step: dict[tuple, dict[str, int]] = field(default_factory=dict)
+
+    def minions(self, pool):
+        """Return the usable minions of a pool."""
+        if not self.minions_by_pool:
+            for minion in self.table.minion_by_id.values():
+                if minion.id in self.outlook.usable and not minion.is_draining:
+                    self.minions_by_pool.setdefault(minion.pool, []).append(minion)
+        return self.minions_by_pool.get(pool, [])
+
+    def room(self, minion):
+        """Return the room taken on a minion, as this pass would leave it."""
+        taken = self.room_by_minion.get(minion.id)
+        if taken is None:
+            taken = replace(self.table.taken_by_minion[minion.id])
+            self.room_by_minion[minion.id] = taken
+        return taken
+
+    def carried(self, step_key):
+        """Return how many tasks of a step each minion carries in this pass."""
+        counts = self.placed_by_step.get(step_key)
+        if counts is None:
+            counts = dict(self.table.carried_by_step.get(step_key, {}))
+            self.placed_by_step[step_key] = counts
+        return counts
+
+    def take(self, step_key, step, minion):
+        """Count one more task of `step` on `minion`."""
+        room = self.room(minion)
+        room.cpu_millicores += step.counted_millicores
+        room.memory_mb += step.memory_mb
+        room.accelerators += step.accelerators
+        counts = self.carried(step_key)
+        counts[minion.id] = counts.get(minion.id, 0) + 1
+
+    def give_back(self, step_key, step, minion):
+        """Undo `take`."""
+        room = self.room(minion)
+        room.cpu_millicores -= step.counted_millicores
+        room.memory_mb -= step.memory_mb
+        room.accelerators -= step.accelerators
+        self.carried(step_key)[minion.id] -= 1
+
+
+def plan_starts(table, outlook):
+    """Return `(starts, gangs)`: what should start now, the most urgent first."""
+    work = Pass(table, outlook)
+    starts = []
+    gangs = []
+    for job, round_number, step_number in order_steps(table, outlook.now_ms):
+        key = (job.id, round_number, step_number)
+        placed = list(place_step(work, job, key))
+        if job.spec.steps[step_number].gang:
+            if placed:
+                gangs.append(tuple(placed))
+        else:
+            starts += placed
+    return tuple(starts), tuple(gangs)
+
+
+def order_steps(table, now_ms):
+    """Return `(job, round, step)` of the ready steps, the most urgent first."""
+    steps = [
+        (table.job_by_id[job], number, step) for job, number, step in table.ready_steps
+    ]
+    steps.sort(key=lambda entry: urgency(table, now_ms, *entry))
+    return steps
+
+
+def urgency(table, now_ms, job, round_number, step_number):
+    """Return the sort key of a ready step.
+
+    Priority first, then tasks that serve, then the jobs that can still be in
+    time by their deadline, then the others.
+    """
+    policy = table.policy(job)
+    step = job.spec.steps[step_number]
+    due_ms = objective_ms(policy, job, round_number)
+    is_late = now_ms > due_ms
+    return (policy.priority, not step.lasts, is_late, due_ms)
+
+
+def objective_ms(policy, job, round_number):
+    """Return until when a round of `job` is in time."""
+    begin = job.accepted_ms
+    if job.spec.times:
+        begin = job.spec.first_due_ms + round_number * job.spec.interval_ms
+    chain = longest_chain_ms(job.spec.steps)
+    return begin + policy.objective_ms + policy.stretch * chain
+
+
+def place_step(work, job, key):
+    """Yield the starts of one step that fit now; a gang starts whole."""
+    _, round_number, step_number = key
+    step = job.spec.steps[step_number]
+    tasks = job.round_by_number[round_number].tasks_by_step[step_number]
+    waiting = [
+        index
+        for index, task in enumerate(tasks)
+        if task.status is TaskStatus.WAITING
+        and TaskKey(*key, index) not in work.table.run_by_task
+    ]
+    if step.gang and len(waiting) < step.count:
+        return
+    starts = list(place_tasks(work, job, key, waiting))
+    if step.gang and len(starts) < step.count:
+        for start in starts:
+            minion = work.table.minion_by_id[start.minion]
+            work.give_back(key, step, minion)
+        return
+    yield from starts
+
+
+def place_tasks(work, job, key, indexes):
+    """Yield a start for each of `indexes` as long as a minion has room."""
+    step = job.spec.steps[key[2]]
+    candidates = list(eligible(work, job, key, step))
+    rack = chosen_rack(work, key, step, candidates)
+    if rack is not None:
+        candidates = [minion for minion in candidates if minion.rack == rack]
+    for index in indexes:
+        minion = best_minion(work, key, step, candidates)
+        if minion is None:
+            return
+        work.take(key, step, minion)
+        yield Start(TaskKey(*key, index), minion.id)
+
+
+def eligible(work, job, key, step):
+    """Yield the minions that may run tasks of a step, room aside."""
+    policy = work.table.policy(job)
+    permitted = work.outlook.permitted_by_step.get(key)
+    if policy.advice is not None and permitted is None:
+        return
+    for minion in work.minions(policy.pool):
+        if step.required_label and step.required_label not in minion.labels:
+            continue
+        if policy.advice is not None and minion.id not in permitted:
+            continue
+        yield minion
+
+
+def chosen_rack(work, key, step, candidates):
+    """Return the rack that all tasks of a step must share, or None.
+
+    The rack that has some of them already, else the one with the most room.
+    """
+    if not step.same_rack:
+        return None
+    for minion_id, count in work.carried(key).items():
+        minion = work.table.minion_by_id.get(minion_id)
+        if count and minion is not None:
+            return minion.rack
+    slots_by_rack = {}
+    for minion in candidates:
+        slots = slots_on(work, step, minion)
+        slots_by_rack[minion.rack] = slots_by_rack.get(minion.rack, 0) + slots
+    if not slots_by_rack:
+        return None
+    rack = max(slots_by_rack, key=slots_by_rack.get)
+    return rack if slots_by_rack[rack] >= step.count else None
+
+
+def slots_on(work, step, minion):
+    """Return how many tasks of `step` fit on `minion` now."""
+    room = work.room(minion)
+    free = (
+        (minion.cpu_millicores - room.cpu_millicores, step.counted_millicores),
+        (minion.memory_mb - room.memory_mb, step.memory_mb),
+        (minion.accelerators - room.accelerators, step.accelerators),
+    )
+    slots = min((have // need for have, need in free if need), default=step.count)
+    return min(slots, step.max_per_minion or slots, step.count)
+
+
+def best_minion(work, key, step, candidates):
+    """Return the minion for one more task of a step, or None.
+
+    Near the data first, then the least doubted, then the one that has the
+    largest part of its processors free.
+    """
+    carried = work.carried(key)
+    best = None
+    best_score = None
+    for minion in candidates:
+        if step.max_per_minion and carried.get(minion.id, 0) >= step.max_per_minion:
+            continue
+        room = work.room(minion)
+        if not room.fits(minion, step):
+            continue
+        score = (
+            bool(step.data_rack) and minion.rack != step.data_rack,
+            work.outlook.doubt_by_minion.get(minion.id, 0.0),
+            room.cpu_millicores / max(1, minion.cpu_millicores),
+        )
+        if best is None or score < best_score:
+            best, best_score = minion, score
+    return best
--- /dev/null
+++ b/hingepitch/jobs/rule.py
@@ -0,0 +1,205 @@
+"""
+hingepitch.jobs.rule
+~~~~~~~~~~~~~~~~~~~~
+
+The rules of the state machine for jobs: what may start, and what is over.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from hingepitch.error import HingepitchError
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.queue import check_config
+from hingepitch.jobs.record import (
+    JobRecord,
+    JobStatus,
+    TaskStatus,
+    UpkeepStage,
+    Wave,
+)
+from hingepitch.jobs.spec import check_spec
+from hingepitch.model.rule import Refusal, apply_command
+
+__all__ = ["start_fault"]
+
+#: Jobs that are not ended; beyond, new ones are refused. Source: about ten
+#: times the open jobs of the busiest day played, at 4 KB each 20 MB of memory.
+MAX_OPEN_JOBS = 5000
+
+
+@apply_command.register
+def _(command: commands.PutQueues, state, envelope, index):
+    table = state.jobs
+    if table.config is not None and command.config.version <= table.config.version:
+        return
+    check_config(command.config)
+    table.config = command.config
+
+
+@apply_command.register
+def _(command: commands.AcceptJob, state, envelope, index):
+    table = state.jobs
+    table.forget_ended_jobs(command.at_ms)
+    if command.id in table.job_by_id:
+        return
+    if table.config is None:
+        raise Refusal("no_queues")
+    queue = table.config.find(command.host, command.path)
+    if queue is None:
+        raise Refusal("unknown_queue", f"{command.host}{command.path}")
+    if len(table.job_by_id) - len(table.ended_jobs) >= MAX_OPEN_JOBS:
+        raise Refusal("too_many_jobs")
+    try:
+        check_spec(command.spec)
+    except HingepitchError as error:
+        raise Refusal(error.code, error.detail) from None
+    table.add_job(JobRecord(command.id, queue, command.spec, command.at_ms))
+
+
+@apply_command.register
+def _(command: commands.CancelJob, state, envelope, index):
+    job = state.jobs.job_by_id.get(command.id)
+    if job is None:
+        raise Refusal("unknown_job", command.id)
+    if job.is_open:
+        state.jobs.end_job(job, JobStatus.CANCELLED, command.at_ms)
+
+
+@apply_command.register
+def _(command: commands.OpenRounds, state, envelope, index):
+    for job_id in command.jobs:
+        job = state.jobs.job_by_id.get(job_id)
+        if job is not None and job.is_open and job.rounds_opened < job.rounds_wanted:
+            state.jobs.open_round(job)
+
+
+@apply_command.register
+def _(command: commands.StartRuns, state, envelope, index):
+    table = state.jobs
+    for start in command.starts:
+        if not start_fault(table, start):
+            number = table.task(start.task).run + 1
+            table.start_run(start, number, command.at_ms)
+    for gang in command.gangs:
+        start_gang(table, gang, command.at_ms)
+
+
+def start_gang(table, gang, at_ms):
+    """Start all members of a gang under one run number, or none."""
+    if any(start_fault(table, start) for start in gang):
+        return
+    number = 1 + max(table.task(start.task).run for start in gang)
+    started = []
+    for start in gang:
+        if start_fault(table, start):
+            break
+        table.start_run(start, number, at_ms)
+        started.append(start)
+    if len(started) < len(gang):
+        undo_gang(table, started, number)
+
+
+def undo_gang(table, started, number):
+    """Take back the members of a gang that did not fit together."""
+    for start in started:
+        table.drop_run(table.run_by_task[start.task])
+        table.task(start.task).status = TaskStatus.WAITING
+        job = table.job_by_id[start.task.job]
+        table.index_step(job, start.task.round, start.task.step)
+
+
+def start_fault(table, start):
+    """Return why a run may not start, or an empty string."""
+    key = start.task
+    job = table.job_by_id.get(key.job)
+    minion = table.minion_by_id.get(start.minion)
+    if job is None or not job.is_open:
+        return "the job is not open"
+    if minion is None or minion.is_draining:
+        return "the minion is gone or leaving"
+    return task_fault(table, job, key) or place_fault(table, job, key, minion)
+
+
+def task_fault(table, job, key):
+    """Return why the turn of a task has not come, or an empty string."""
+    opened = job.round_by_number.get(key.round)
+    if opened is None:
+        return "the round is not open"
+    task = opened.tasks_by_step[key.step][key.index]
+    if task.status is not TaskStatus.WAITING or key in table.run_by_task:
+        return "the task does not wait"
+    step = job.spec.steps[key.step]
+    if any(opened.left_by_step[earlier] for earlier in step.after):
+        return "an earlier step is not done"
+    return ""
+
+
+def place_fault(table, job, key, minion):
+    """Return why a task may not run on a minion, or an empty string."""
+    step = job.spec.steps[key.step]
+    if minion.pool != table.policy(job).pool:
+        return "the minion is of another pool"
+    if step.required_label and step.required_label not in minion.labels:
+        return "the minion lacks the label"
+    if step.max_per_minion:
+        carried = table.carried_by_step.get(key[:3], {}).get(minion.id, 0)
+        if carried >= step.max_per_minion:
+            return "the minion carries enough of the step"
+    if not table.taken_by_minion[minion.id].fits(minion, step):
+        return "no room"
+    return ""
+
+
+@apply_command.register
+def _(command: commands.EndRuns, state, envelope, index):
+    for end in command.ends:
+        state.jobs.end_run(end, command.at_ms)
+
+
+@apply_command.register
+def _(command: commands.RegisterMinion, state, envelope, index):
+    state.jobs.put_minion(command.minion, command.at_ms)
+
+
+@apply_command.register
+def _(command: commands.RemoveMinion, state, envelope, index):
+    state.jobs.remove_minion(command.id, command.at_ms)
+
+
+@apply_command.register
+def _(command: commands.PutWave, state, envelope, index):
+    if command.number in state.jobs.wave_by_number:
+        return
+    if command.max_down < 1:
+        raise Refusal("bad_object", "a wave that takes no VM")
+    state.jobs.wave_by_number[command.number] = Wave(
+        command.number, command.vms, command.max_down, command.due_ms
+    )
+
+
+def need_wave(state, number):
+    """Return a wave, or refuse."""
+    wave = state.jobs.wave_by_number.get(number)
+    if wave is None:
+        raise Refusal("unknown_object", f"no wave {number}")
+    return wave
+
+
+@apply_command.register
+def _(command: commands.BeginUpkeep, state, envelope, index):
+    wave = need_wave(state, command.number)
+    if command.vm not in wave.vms_waiting:
+        raise Refusal("wrong_life", f"{command.vm} does not wait for upkeep")
+    if len(wave.vms_down) >= wave.max_down:
+        raise Refusal("budget_spent", f"{wave.max_down} VMs are down")
+    wave.stage_by_vm[command.vm] = UpkeepStage.BEGUN
+
+
+@apply_command.register
+def _(command: commands.SettleUpkeep, state, envelope, index):
+    wave = need_wave(state, command.number)
+    if command.stage is None:
+        wave.stage_by_vm.pop(command.vm, None)
+    else:
+        wave.stage_by_vm[command.vm] = command.stage
--- /dev/null
+++ b/hingepitch/jobs/service.py
@@ -0,0 +1,203 @@
+"""
+hingepitch.jobs.service
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Answers the questions of the other processes about jobs.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import time
+from functools import singledispatchmethod
+
+from hingepitch.clock import lease_seconds
+from hingepitch.error import HingepitchError
+from hingepitch.jobs import question as questions
+from hingepitch.jobs.command import (
+    AcceptJob,
+    CancelJob,
+    PutQueues,
+    PutWave,
+    RegisterMinion,
+    RemoveMinion,
+)
+from hingepitch.log import log_event
+from hingepitch.model.command import Envelope, Role
+
+__all__ = ["JobService", "wall_ms"]
+
+#: How soon a refused caller may come back. Source: a new leader is there
+#: within about a second.
+RETRY_AFTER_MS = 1000
+
+#: How long a read may rest on the last confirmed round instead of one of its
+#: own, in seconds; 0 would ask for a round for each read.
+PENDING_AGE_SECONDS = 1.0
+
+
+def wall_ms():
+    """Milliseconds since the epoch; for records and due times."""
+    return time.time_ns() // 1_000_000
+
+
+class JobService:
+    """The leader's answers.
+
+    `replica`
+        The replica of this process.
+    `roster`
+        Hears the beats of minions.
+    `members`
+        Keeps the group complete.
+    `name`
+        Name of this process, for the envelopes.
+    """
+
+    def __init__(self, replica, roster, members, name):
+        self.replica = replica
+        self.roster = roster
+        self.members = members
+        self.name = name
+        self.confirmed_at = 0.0
+
+    @property
+    def table(self):
+        """The replicated job table."""
+        return self.replica.state.jobs
+
+    def propose(self, role, command):
+        """Put a command into the log; raise its refusal."""
+        outcome = self.replica.propose(Envelope(role, "", self.name, command))
+        if not outcome.accepted:
+            raise HingepitchError(outcome.code, outcome.detail, RETRY_AFTER_MS)
+
+    def confirm(self):
+        """Make sure that this replica leads and has applied all."""
+        self.replica.confirm()
+        self.confirmed_at = lease_seconds()
+
+    @singledispatchmethod
+    def answer(self, question):
+        """Return the answer to `question`; raise `HingepitchError`."""
+        raise HingepitchError("bad_request", f"no such question: {question!r}")
+
+    @answer.register
+    def _(self, question: questions.GiveJob):
+        command = AcceptJob(
+            question.id, question.host, question.path, question.spec, wall_ms()
+        )
+        self.propose(Role.ENTRY, command)
+        log_event(
+            "job_accepted",
+            job=question.id,
+            host=question.host,
+            path=question.path,
+            steps=len(question.spec.steps),
+            config=self.table.config.version,
+        )
+
+    @answer.register
+    def _(self, question: questions.AskJob):
+        self.confirm()
+        job = self.table.job_by_id.get(question.id)
+        if job is None:
+            self.need_queue(question)
+            raise HingepitchError("unknown_job", question.id)
+        return job.status.value
+
+    @answer.register
+    def _(self, question: questions.AskCancel):
+        self.propose(Role.ENTRY, CancelJob(question.id, wall_ms()))
+        log_event("job_cancelled", job=question.id)
+
+    @answer.register
+    def _(self, question: questions.AskPending):
+        if lease_seconds() - self.confirmed_at > PENDING_AGE_SECONDS:
+            self.confirm()
+        queue = self.need_queue(question)
+        return self.table.pending_by_place[queue.place]
+
+    def need_queue(self, question):
+        """Return the queue that a question names; raise `unknown_queue`."""
+        config = self.table.config
+        if config is None:
+            raise HingepitchError("no_queues", "", RETRY_AFTER_MS)
+        queue = config.find(question.host, question.path)
+        if queue is None:
+            raise HingepitchError("unknown_queue", f"{question.host}{question.path}")
+        return queue
+
+    @answer.register
+    def _(self, question: questions.GiveConfig):
+        before = self.table.config
+        self.propose(Role.OPERATOR, PutQueues(question.config))
+        log_event(
+            "queues_put",
+            version=question.config.version,
+            before=before.version if before else 0,
+            held=self.table.config.version,
+        )
+
+    @answer.register
+    def _(self, question: questions.AskConfig):
+        self.confirm()
+        config = self.table.config
+        return config.document if config is not None else None
+
+    @answer.register
+    def _(self, question: questions.GiveWave):
+        due_ms = wall_ms() + question.duration_ms
+        self.propose(
+            Role.OPERATOR,
+            PutWave(question.number, question.vms, question.max_down, due_ms),
+        )
+        log_event(
+            "wave_put",
+            wave=question.number,
+            vms=len(question.vms),
+            max_down=question.max_down,
+        )
+
+    @answer.register
+    def _(self, question: questions.AskWave):
+        self.confirm()
+        wave = self.table.wave_by_number.get(question.number)
+        if wave is None:
+            raise HingepitchError("unknown_object", f"no wave {question.number}")
+        return wave.is_done
+
+    @answer.register
+    def _(self, question: questions.NoteBeat):
+        if not self.replica.is_leader:
+            raise HingepitchError("not_leader")
+        minion = question.minion
+        known = self.table.minion_by_id.get(minion.id)
+        if minion.id in self.table.ended_lives:
+            return
+        if not self.roster.note(question):
+            return
+        if known != minion:
+            self.propose(Role.DISPATCHER, RegisterMinion(minion, wall_ms()))
+            log_event(
+                "minion_registered",
+                minion=minion.id,
+                vm=minion.vm,
+                pool=minion.pool,
+                draining=minion.is_draining,
+                sequence=question.sequence,
+            )
+        self.roster.tell(minion.id, question.clock_ms)
+
+    @answer.register
+    def _(self, question: questions.NoteLeaving):
+        self.propose(Role.DISPATCHER, RemoveMinion(question.id, wall_ms()))
+        log_event("minion_removed", minion=question.id, reason="left")
+
+    @answer.register
+    def _(self, question: questions.JoinGroup):
+        return self.members.welcome(question)
+
+    @answer.register
+    def _(self, question: questions.AskMembers):
+        return self.members.rows()
--- a/hingepitch/load/generator.py
+++ b/hingepitch/load/generator.py
@@ -17,9 +17,9 @@
 from hdrh.histogram import HdrHistogram
 
 from hingepitch.clock import lease_seconds
-from hingepitch.entry.exchange import MinionConnections
-from hingepitch.entry.request import Answer, Request
 from hingepitch.error import HingepitchError
+from hingepitch.exchange import MinionConnections
+from hingepitch.request import Answer, Request
 from hingepitch.setting import parse_address
 
 __all__ = ["LoadResult", "LoadTest", "percentiles"]
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -42,6 +42,25 @@
     "wave_step": "INFO",
     "job_step": "INFO",
     "platform_failed": "WARNING",
+    "job_accepted": "INFO",
+    "job_cancelled": "INFO",
+    "queues_put": "INFO",
+    "wave_put": "INFO",
+    "upkeep_step": "INFO",
+    "minion_registered": "INFO",
+    "minion_removed": "INFO",
+    "minion_lapsed": "WARNING",
+    "run_ordered": "INFO",
+    "run_ended": "INFO",
+    "unknown_run": "WARNING",
+    "session_started": "INFO",
+    "session_ended": "INFO",
+    "session_fenced": "WARNING",
+    "leader_unconfirmed": "WARNING",
+    "member_joined": "INFO",
+    "member_step": "INFO",
+    "request_refused": "INFO",
+    "settings_reloaded": "INFO",
     "claim_left_open": "WARNING",
     "bad_request": "INFO",
 }
@@ -68,12 +87,12 @@
     logger.log(EVENTS[event], "{}", format_pairs({"event": event, **pairs}))
 
 
-def configure_log(program, level="INFO"):
-    """Send the log lines of `program` to standard error."""
+def configure_log(program, level="INFO", stream=None):
+    """Send the log lines of `program` to `stream`, default standard error."""
     logger.remove()
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
     logger.add(
-        sys.stderr,
+        stream or sys.stderr,
         level=level,
         format="time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} "
         f"program={quote_value(program)} {{message}}",
--- a/hingepitch/model/apply.py
+++ b/hingepitch/model/apply.py
@@ -12,6 +12,7 @@
 from functools import singledispatch
 
 from hingepitch.error import HingepitchError
+from hingepitch.jobs import command as job_commands, rule as job_rule
 from hingepitch.model import command as commands
 from hingepitch.model.command import Outcome, Role
 from hingepitch.model.record import Claim, PlannerLease
@@ -21,6 +22,9 @@
 
 __all__ = ["apply", "is_resend", "object_of"]
 
+#: Importing this module registers the rules for jobs.
+JOB_RULES = job_rule
+
 #: Command ids kept, so that a resent command gets its first outcome.
 MAX_COMMAND_IDS = 20_000
 
@@ -154,6 +158,8 @@
         commands.Delete,
         commands.SubmitJob,
         commands.CancelJobs,
+        job_commands.PutQueues,
+        job_commands.PutWave,
     },
     Role.ENTRY: {
         commands.JoinEntry,
@@ -162,6 +168,17 @@
         commands.ReleaseClaim,
         commands.SubmitJob,
         commands.CancelJobs,
+        job_commands.AcceptJob,
+        job_commands.CancelJob,
+    },
+    Role.DISPATCHER: {
+        job_commands.OpenRounds,
+        job_commands.StartRuns,
+        job_commands.EndRuns,
+        job_commands.RegisterMinion,
+        job_commands.RemoveMinion,
+        job_commands.BeginUpkeep,
+        job_commands.SettleUpkeep,
     },
     Role.PLANNER: {
         commands.TakePlannerLease,
--- a/hingepitch/model/command.py
+++ b/hingepitch/model/command.py
@@ -11,6 +11,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from hingepitch.jobs.command import JOB_COMMANDS
 from hingepitch.model.record import Claim, JobState, Purpose
 
 __all__ = ["COMMAND_BY_NAME", "Envelope", "Outcome", "Role"]
@@ -22,6 +23,7 @@
     OPERATOR = "operator"
     ENTRY = "entry"
     PLANNER = "planner"
+    DISPATCHER = "dispatcher"
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,6 +255,7 @@
         CancelJobs,
         PlaceJob,
         EndJob,
+        *JOB_COMMANDS,
     )
 }
 
--- a/hingepitch/model/rules/declaration.py
+++ b/hingepitch/model/rules/declaration.py
@@ -24,25 +24,6 @@
 
 __all__ = ["DELETABLE_KINDS", "check_relabelled"]
 
-#: Command ids kept, so that a resent command gets its first outcome.
-MAX_COMMAND_IDS = 20_000
-
-#: How long an answered claim is kept after its request was claimed.
-CLAIM_RETENTION_SECONDS = 24 * 3600
-
-#: Claims kept before answered ones go earlier, but not before this age.
-MAX_CLAIMS = 50_000
-MIN_CLAIM_RETENTION_SECONDS = 3600
-
-#: With so many claims, new ones are refused: the young ones must stay.
-REFUSE_CLAIMS_ABOVE = 2 * MAX_CLAIMS
-
-#: Jobs kept after their end.
-MAX_ENDED_JOBS = 20_000
-
-#: A claim older than the deadline by this much has an unknown outcome.
-CLAIM_GRACE_SECONDS = 2
-
 #: Kinds that an operator may delete.
 DELETABLE_KINDS = ("vm", "pool", "service", "team", "campaign")
 
--- a/hingepitch/model/state.py
+++ b/hingepitch/model/state.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from hingepitch.jobs.table import JobTable, TableContent
 from hingepitch.model.codec import ENCODER, RECORD_DECODER_BY_KIND
 from hingepitch.model.command import Outcome
 from hingepitch.model.index import Index
@@ -72,10 +73,15 @@
 
     `version` is the log index of the last change. Records are only changed
     through `put` and `drop`, which keep the indices.
+
+    `jobs`
+        The jobs of several steps; they have no feed, only the leader acts
+        on them.
     """
 
     def __init__(self):
         self.by_kind = {kind: {} for kind in RECORD_BY_KIND}
+        self.jobs = JobTable()
         self.version = 0
         self.now_seconds = 0
         self.outcome_by_command_id = {}
@@ -210,6 +216,7 @@
                 },
                 "records": self.by_kind,
                 "outcomes": self.outcome_by_command_id,
+                "jobs": self.jobs.to_content(),
             }
         )
 
@@ -232,6 +239,9 @@
         state.outcome_by_command_id = msgspec.msgpack.decode(
             raw["outcomes"], type=dict[str, Outcome]
         )
+        if "jobs" in raw:  # Snapshots of version 0.1.0 have none.
+            content = msgspec.msgpack.decode(raw["jobs"], type=TableContent)
+            state.jobs = JobTable.from_content(content)
         for name, version in msgspec.msgpack.decode(raw["feeds"]).items():
             kinds = state.feed_by_name[name].kinds
             state.feed_by_name[name] = Feed(kinds, version)
--- /dev/null
+++ b/hingepitch/peerbook.py
@@ -0,0 +1,100 @@
+"""
+hingepitch.peerbook
+~~~~~~~~~~~~~~~~~~~
+
+The addresses of the control replicas: learnt, passed on, remembered.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import os
+from pathlib import Path
+
+import gevent
+import msgspec
+
+from hingepitch.error import HingepitchError
+from hingepitch.jobs.question import AskMembers, MemberRow, encode
+from hingepitch.log import log_event
+
+__all__ = ["PeerBook", "decode_rows"]
+
+#: How often the members are asked for, in seconds.
+REFRESH_SECONDS = 2.0
+
+FILE_NAME = "peers"
+ROWS_DECODER = msgspec.msgpack.Decoder(list[MemberRow])
+
+
+def decode_rows(answer):
+    """Return the list of `MemberRow` of an answer."""
+    return ROWS_DECODER.decode(answer)
+
+
+class PeerBook:
+    """Where the control replicas take calls.
+
+    `seeds`
+        Addresses from the settings; they may be stale.
+    `folder`
+        Data folder in which the book is remembered, or None.
+    """
+
+    def __init__(self, seeds, folder=None):
+        self.seeds = list(seeds)
+        self.path = Path(folder) / FILE_NAME if folder else None
+        self.rows = []
+
+    def load(self):
+        """Read what was remembered; an unreadable book is left aside."""
+        if self.path is None or not self.path.exists():
+            return
+        try:
+            self.rows = ROWS_DECODER.decode(self.path.read_bytes())
+        except (OSError, msgspec.MsgspecError) as error:
+            log_event("storage_failed", file=FILE_NAME, error=error)
+
+    def addresses(self):
+        """Return all known addresses, the members' first."""
+        return list(dict.fromkeys([row.address for row in self.rows] + self.seeds))
+
+    def address_of(self, identity):
+        """Return the address of a replica, or None."""
+        return next(
+            (row.address for row in self.rows if row.identity == identity), None
+        )
+
+    def learn(self, rows):
+        """Take over newer rows, and remember them."""
+        if not rows:
+            return
+        known = {(row.identity, row.address) for row in self.rows}
+        self.rows = rows
+        if self.path is not None and known != {(r.identity, r.address) for r in rows}:
+            self.save()
+
+    def save(self):
+        """Remember the book; without it, only the seeds are known at a start."""
+        temporary = self.path.with_name("." + FILE_NAME)
+        try:
+            temporary.write_bytes(encode(self.rows))
+            os.rename(temporary, self.path)
+        except OSError as error:
+            log_event("storage_failed", file=FILE_NAME, error=error)
+
+    def keep_fresh(self, *groups):
+        """Ask the first of `groups` for the members, again and again.
+
+        All of `groups` get the addresses.
+        """
+        while True:
+            asked = groups[0].preferred
+            try:
+                answer = groups[0].call_once("ask", encode(AskMembers()))
+                self.learn(decode_rows(answer))
+            except HingepitchError as error:
+                log_event("peer_unreachable", address=asked, error=error.code)
+            for group in groups:
+                group.set_addresses(self.addresses())
+            gevent.sleep(REFRESH_SECONDS)
--- a/hingepitch/entry/request.py
+++ b/hingepitch/request.py
@@ -1,6 +1,6 @@
 """
-hingepitch.entry.request
-~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.request
+~~~~~~~~~~~~~~~~~~
 
 Requests, answers and failures inside an entry.
 
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -80,4 +80,8 @@
   // An index; a state that has applied it is as new as the leader's was when
   // the call came.
   i64 read_index() throws (1: Refused refused),
+
+  // A question of an entry, a relaying replica or a joining one; question
+  // and answer are msgpack, see hingepitch.jobs.question.
+  binary ask(1: binary question) throws (1: Refused refused),
 }
--- a/standin/bench.py
+++ b/standin/bench.py
@@ -24,13 +24,13 @@
 
 from hingepitch.control.message import Entry, EntryKind, Member
 from hingepitch.control.storage import Storage, found_folder
-from hingepitch.entry.exchange import MinionConnections
-from hingepitch.entry.request import Answer, Request
+from hingepitch.exchange import MinionConnections
 from hingepitch.group import GroupClient
 from hingepitch.load.generator import LoadTest
 from hingepitch.load.mix import MIX_BY_NAME
 from hingepitch.log import configure_log
 from hingepitch.model.command import Envelope, PutPool, Role
+from hingepitch.request import Answer, Request
 from hingepitch.setting import parse_address
 from standin import wave_trial
 from standin.cluster import SHARED_KEY, Cluster, wait_for
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -6,9 +6,9 @@
 import pytest
 
 from hingepitch.control.settings import ControlSettings
-from hingepitch.entry.exchange import BrokenAnswer, check_answer_head
 from hingepitch.entry.settings import EntrySettings
 from hingepitch.error import HingepitchError
+from hingepitch.exchange import BrokenAnswer, check_answer_head
 from hingepitch.httpd import FramingError, StrictHandler, check_framing
 from hingepitch.log import format_pairs
 from hingepitch.model.border import parse_object
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,14 +6,14 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.entry.balance import Balancer, MinionHealth
-from hingepitch.entry.exchange import MinionConnections, is_readable
 from hingepitch.entry.limit import RetryBudget, SlotQueue
 from hingepitch.entry.proxy import Proxy
-from hingepitch.entry.request import Answer, Failure, Priority, Request, Run
+from hingepitch.exchange import MinionConnections, is_readable
 from hingepitch.httpd import wait_until
 from hingepitch.metric import Metrics
 from hingepitch.model.record import Life, Service, Vm
 from hingepitch.model.state import State
+from hingepitch.request import Answer, Failure, Priority, Request, Run
 
 
 class FakeMinion:
