--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -111,6 +111,7 @@
         self.looked_at = 0.0
         self.answered_at = 0.0
         self.heard_at = 0.0
+        self.beat_at = 0.0
         self.aside_until = 0.0
         self.is_gone = False
         self.greenlets = []
@@ -133,7 +134,7 @@
 
     def note_beat(self, clock_ms):
         """Note that the minion spoke by itself."""
-        self.heard_at = lease_seconds()
+        self.heard_at = self.beat_at = lease_seconds()
         if clock_ms is not None:
             self.note_clock(clock_ms)
 
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -20,6 +20,7 @@
 from hingepitch.jobs.contact import StartOrder
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.service import wall_ms
+from hingepitch.jobs.upkeep import UpkeepDesk
 from hingepitch.log import log_event
 from hingepitch.model.command import Envelope, Role
 
@@ -57,6 +58,8 @@
         How long a look waits at the minion for an end.
     `early_ms`
         A due time may begin this much early.
+    `upkeep_seconds`
+        How long a VM is down for its upkeep.
     """
 
     lease_seconds: float = 6.0
@@ -65,6 +68,7 @@
     beat_seconds: float = 1.5
     look_wait_ms: int = 2000
     early_ms: int = 0
+    upkeep_seconds: float = 2.0
 
     @property
     def lease_until_over_seconds(self):
@@ -81,13 +85,16 @@
         Function from a `Minion` to a client for it.
     `terms`
         A `DispatchTerms`.
+    `platform`
+        Client of the platform's API of VMs, or None where there is none.
     """
 
-    def __init__(self, replica, connect, terms, name):
+    def __init__(self, replica, connect, terms, name, platform=None):
         self.replica = replica
         self.connect = connect
         self.terms = terms
         self.name = name
+        self.upkeep = UpkeepDesk(self, platform, terms.upkeep_seconds)
         self.fence = replica.core.term
         self.started_at = lease_seconds()
         self.confirmed_at = 0.0
@@ -157,6 +164,28 @@
             return False
         return (run.task, run.number) not in self.evacuated
 
+    def evacuate(self, run):
+        """Stop a run so that it goes on elsewhere."""
+        self.evacuated.add((run.task, run.number))
+        log_event(
+            "run_evacuated",
+            job=run.task.job,
+            task=format_task(run.task),
+            run=run.number,
+            minion=run.minion,
+        )
+        self.agent_by_minion[run.minion].wake.set()
+
+    def is_at_work(self, task):
+        """Whether a lasting task is known to be at work."""
+        run = self.table.run_by_task.get(task)
+        agent = run and self.agent_by_minion.get(run.minion)
+        view = agent and agent.view_by_task.get(task)
+        if not view or view.row is None or view.row.percent < 100:
+            return False
+        is_running = view.status is RunViewStatus.RUNNING
+        return is_running and (task, run.number) not in self.evacuated
+
     def start_order(self, run, lease_until_ms):
         """Return the order that starts `run`, or None if it must not start."""
         minion = self.table.minion_by_id.get(run.minion)
@@ -247,6 +276,8 @@
     def run(self):
         """Work until the leadership has passed."""
         loops = [gevent.spawn(self.keep_confirming), gevent.spawn(self.follow_changes)]
+        if self.upkeep.platform is not None:
+            loops.append(gevent.spawn(self.upkeep.run))
         try:
             while self.leads():
                 self.woken.wait(PASS_SECONDS)
@@ -313,6 +344,7 @@
             for minion_id, agent in self.agent_by_minion.items()
             if agent.may_start(now)
         }
+        usable -= self.upkeep.leaving_lives
         return Outlook(wall_ms(), usable)
 
     def open_due_rounds(self):
@@ -342,16 +374,17 @@
 class Dispatcher:
     """Runs a session for each leadership of this process.
 
-    `replica`, `roster`, `connect`, `terms`, `name`
+    `replica`, `roster`, `connect`, `terms`, `name`, `platform`
         As for `Session`; `roster` hears the minions.
     """
 
-    def __init__(self, replica, roster, connect, terms, name):
+    def __init__(self, replica, roster, connect, terms, name, platform=None):
         self.replica = replica
         self.roster = roster
         self.connect = connect
         self.terms = terms
         self.name = name
+        self.platform = platform
         self.session = None
         roster.on_beat = self.note_beat
 
@@ -372,7 +405,9 @@
 
     def lead(self):
         """Lead until the leadership has passed."""
-        self.session = Session(self.replica, self.connect, self.terms, self.name)
+        self.session = Session(
+            self.replica, self.connect, self.terms, self.name, self.platform
+        )
         log_event(
             "session_started",
             fence=self.session.fence,
--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -12,7 +12,7 @@
 
 from hingepitch.jobs.command import Start
 from hingepitch.jobs.record import TaskStatus
-from hingepitch.jobs.spec import TaskKey, longest_chain_ms
+from hingepitch.jobs.spec import TaskKey, chain_from_ms, longest_chain_ms
 from hingepitch.jobs.table import Room
 
 __all__ = ["Outlook", "plan_starts"]
@@ -122,7 +122,7 @@
     policy = table.policy(job)
     step = job.spec.steps[step_number]
     due_ms = objective_ms(policy, job, round_number)
-    is_late = now_ms > due_ms
+    is_late = now_ms + chain_from_ms(job.spec.steps, step_number) > due_ms
     return (policy.priority, not step.lasts, is_late, due_ms)
 
 
--- a/hingepitch/jobs/spec.py
+++ b/hingepitch/jobs/spec.py
@@ -13,7 +13,14 @@
 
 from hingepitch.error import HingepitchError
 
-__all__ = ["JobSpec", "Step", "TaskKey", "check_spec", "longest_chain_ms"]
+__all__ = [
+    "JobSpec",
+    "Step",
+    "TaskKey",
+    "chain_from_ms",
+    "check_spec",
+    "longest_chain_ms",
+]
 
 #: Bounds of one job, so that a single one cannot fill the log or the memory.
 MAX_STEPS = 64
@@ -148,3 +155,13 @@
         begin = max((ends[earlier] for earlier in step.after), default=0)
         ends.append(begin + step.estimate_ms)
     return max(ends, default=0)
+
+
+def chain_from_ms(steps, first):
+    """Return the estimated run time of the longest chain that starts at `first`."""
+    ends = {first: steps[first].estimate_ms}
+    for number in range(first + 1, len(steps)):
+        begins = [ends[earlier] for earlier in steps[number].after if earlier in ends]
+        if begins:
+            ends[number] = max(begins) + steps[number].estimate_ms
+    return max(ends.values())
--- /dev/null
+++ b/hingepitch/jobs/upkeep.py
@@ -0,0 +1,240 @@
+"""
+hingepitch.jobs.upkeep
+~~~~~~~~~~~~~~~~~~~~~~
+
+Upkeep waves: VMs are emptied, taken down and awaited, never more at
+once than their wave allows.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import gevent
+
+from hingepitch.clock import lease_seconds
+from hingepitch.jobs.command import BeginUpkeep, SettleUpkeep
+from hingepitch.jobs.fleet import FleetReply, VmState
+from hingepitch.jobs.record import UpkeepStage
+from hingepitch.jobs.service import wall_ms
+from hingepitch.log import log_event
+
+__all__ = ["UpkeepDesk", "patience_seconds"]
+
+#: Time between two looks at the waves, in seconds.
+STEP_SECONDS = 0.2
+
+#: Longest wait for an answer of the platform, in seconds.
+CALL_SECONDS = 2.0
+
+#: The platform's list is read at most this often, in seconds: reads are
+#: limited. It is believed only if it was read so long after the change.
+LIST_SECONDS = 1.0
+LIST_LAG_SECONDS = 1.0
+
+#: Time that one VM takes beyond its upkeep itself: emptying its last stops,
+#: two commits, the first beat of the new life; in seconds.
+TURNAROUND_SECONDS = 2.0
+
+
+def patience_seconds(seconds_left, waiting, max_down, upkeep_seconds):
+    """Return how long one VM may wait for its runs to end by themselves.
+
+    The time that is left beyond what the upkeep of the `waiting` VMs needs,
+    shared among the batches that are still to come.
+    """
+    batches = -(-waiting // max_down)
+    spare = seconds_left - batches * (upkeep_seconds + TURNAROUND_SECONDS)
+    return max(0.0, spare / max(1, batches))
+
+
+class UpkeepDesk:
+    """Carries out the waves for one leadership.
+
+    `session`
+        The leadership: its table, its agents, its commands.
+    `platform`
+        Client with `upkeep(vm, wave, holder, fence, seconds)` and
+        `list_vms(seconds)`.
+    `upkeep_seconds`
+        How long a VM is down for its upkeep.
+    """
+
+    def __init__(self, session, platform, upkeep_seconds):
+        self.session = session
+        self.platform = platform
+        self.upkeep_seconds = upkeep_seconds
+        self.leaving_since_by_vm = {}
+        self.calling = set()
+        self.settled_at_by_vm = {}
+        self.row_by_vm = {}
+        self.rows_at = 0.0
+        self.listed_at = 0.0
+
+    @property
+    def leaving_lives(self):
+        """Lives of minions that get no new runs because of their upkeep."""
+        lives = self.session.table.life_by_vm
+        return {lives[vm] for vm in self.leaving_since_by_vm if vm in lives}
+
+    def run(self):
+        """Carry out the waves until killed."""
+        while True:
+            gevent.sleep(STEP_SECONDS)
+            if not self.session.may_order():
+                continue
+            for wave in list(self.session.table.wave_by_number.values()):
+                if not wave.is_done:
+                    self.step(wave)
+
+    def step(self, wave):
+        """Bring one wave forward."""
+        now = lease_seconds()
+        for vm, stage in list(wave.stage_by_vm.items()):
+            if stage is UpkeepStage.BEGUN:
+                self.call_once_at_a_time(wave, vm)
+            elif stage is UpkeepStage.ORDERED:
+                self.finish_if_back(wave, vm, now)
+        self.choose_leaving(wave, now)
+        self.empty(wave, now)
+
+    # Choosing and emptying.
+
+    def choose_leaving(self, wave, now):
+        """Choose the VMs that are emptied next, the least busy first."""
+        chosen = [vm for vm in wave.vms_waiting if vm in self.leaving_since_by_vm]
+        free = wave.max_down - len(wave.vms_down) - len(chosen)
+        others = [vm for vm in wave.vms_waiting if vm not in chosen]
+        others.sort(key=lambda vm: (len(self.runs_on(vm)), vm))
+        for vm in others[: max(0, free)]:
+            self.leaving_since_by_vm[vm] = now
+            log_event("upkeep_step", wave=wave.number, vm=vm, step="emptying")
+
+    def runs_on(self, vm):
+        """Return the runs recorded on a VM."""
+        life = self.session.table.life_by_vm.get(vm, "")
+        return self.session.runs_of(life)
+
+    def empty(self, wave, now):
+        """Take the VMs that are empty; stop what has had its time."""
+        waiting = wave.vms_waiting
+        seconds_left = (wave.due_ms - wall_ms()) / 1000
+        patience = patience_seconds(
+            seconds_left, len(waiting), wave.max_down, self.upkeep_seconds
+        )
+        for vm in waiting:
+            since = self.leaving_since_by_vm.get(vm)
+            if since is None:
+                continue
+            runs = self.runs_on(vm)
+            if not runs:
+                self.begin(wave, vm)
+            else:
+                self.evacuate(runs.values(), now - since > patience)
+
+    def evacuate(self, runs, is_late):
+        """Stop the lasting tasks that may be away, and what is too slow."""
+        for run in runs:
+            if (run.task, run.number) in self.session.evacuated:
+                continue
+            step = self.step_of(run)
+            if step is None:
+                continue
+            if step.lasts:
+                may_stop = self.may_be_away(run, step)
+            else:
+                may_stop = is_late
+            if may_stop:
+                self.session.evacuate(run)
+
+    def step_of(self, run):
+        """Return the step of a run whose job is open, or None."""
+        job = self.session.table.job_by_id.get(run.task.job)
+        return job.spec.steps[run.task.step] if job and job.is_open else None
+
+    def may_be_away(self, run, step):
+        """Whether a lasting task may be stopped within its budget."""
+        if step.max_away is None:
+            return True
+        away = 0
+        for index in range(step.count):
+            task = run.task._replace(index=index)
+            if task != run.task and not self.session.is_at_work(task):
+                away += 1
+        return away < max(1, step.max_away)
+
+    # Orders to the platform.
+
+    def begin(self, wave, vm):
+        """Record that the upkeep of a VM begins, then order it."""
+        if self.session.propose(BeginUpkeep(wave.number, vm, wall_ms())):
+            self.call_once_at_a_time(wave, vm)
+
+    def call_once_at_a_time(self, wave, vm):
+        """Order the upkeep of a VM, unless an order is on its way."""
+        if vm not in self.calling:
+            self.calling.add(vm)
+            gevent.spawn(self.call, wave, vm)
+
+    def call(self, wave, vm):
+        """Order the upkeep of a VM and record what became of it."""
+        try:
+            reply = self.platform.upkeep(
+                vm, wave.number, self.session.name, self.session.fence, CALL_SECONDS
+            )
+            log_event(
+                "upkeep_step",
+                wave=wave.number,
+                vm=vm,
+                step="ordered",
+                fence=self.session.fence,
+                reply=reply.value,
+            )
+            self.settle(wave, vm, reply)
+        finally:
+            self.calling.discard(vm)
+
+    def settle(self, wave, vm, reply):
+        """Record the answer of the platform, where it is final."""
+        if reply is FleetReply.DONE:
+            self.settled_at_by_vm[vm] = lease_seconds()
+            self.put_stage(wave, vm, UpkeepStage.ORDERED)
+        elif reply in (FleetReply.NOT_IN_WAVE, FleetReply.UNKNOWN_VM):
+            self.leaving_since_by_vm.pop(vm, None)
+            self.put_stage(wave, vm, UpkeepStage.OVER)
+        elif reply is FleetReply.FENCED:
+            self.session.fenced(vm)
+
+    def put_stage(self, wave, vm, stage):
+        """Record how far the upkeep of a VM is."""
+        self.session.propose(SettleUpkeep(wave.number, vm, stage))
+
+    def finish_if_back(self, wave, vm, now):
+        """Record that a VM is back, once it spoke well after its order."""
+        settled_at = self.settled_at_by_vm.setdefault(vm, now)
+        life = self.session.table.life_by_vm.get(vm)
+        agent = self.session.agent_by_minion.get(life)
+        spoke = (
+            agent is not None and agent.beat_at > settled_at + self.upkeep_seconds / 2
+        )
+        if not spoke and not self.is_listed_back(vm, settled_at, now):
+            return
+        self.leaving_since_by_vm.pop(vm, None)
+        self.put_stage(wave, vm, UpkeepStage.OVER)
+        log_event("upkeep_step", wave=wave.number, vm=vm, step="over", minion=life)
+
+    def is_listed_back(self, vm, settled_at, now):
+        """Whether the platform lists a VM that stays silent as not in upkeep.
+
+        A VM that is off, in a pool of spares, has no minion that could speak.
+        """
+        if now < settled_at + self.upkeep_seconds + LIST_LAG_SECONDS:
+            return False
+        if now > self.listed_at + LIST_SECONDS:
+            self.listed_at = now
+            rows = self.platform.list_vms(CALL_SECONDS)
+            if rows is not None:
+                self.row_by_vm = {row.vm: row for row in rows}
+                self.rows_at = now
+        row = self.row_by_vm.get(vm)
+        is_fresh = self.rows_at > settled_at + self.upkeep_seconds + LIST_LAG_SECONDS
+        return is_fresh and row is not None and row.state is not VmState.UPKEEP
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -51,6 +51,7 @@
     "minion_removed": "INFO",
     "minion_lapsed": "WARNING",
     "run_ordered": "INFO",
+    "run_evacuated": "INFO",
     "run_ended": "INFO",
     "unknown_run": "WARNING",
     "session_started": "INFO",
