A refused append probes instead of resending everything

Change: after a refusal one empty probe goes out; entries follow once an index is accepted. Calls to a peer carry 2 MB at most.

--- a/hingepitch/control/consensus.py
+++ b/hingepitch/control/consensus.py
@@ -52,6 +52,9 @@
 #: Ticks after which a snapshot that was not acknowledged is sent again.
 SNAPSHOT_RETRY_TICKS = 50
 
+#: Ticks for the answer to a probe. Source: two rounds of the leader.
+PROBE_TICKS = 4
+
 #: Entries in one message, and their bytes together.
 MAX_ENTRIES = 512
 MAX_ENTRY_BYTES = 1_000_000
@@ -74,13 +77,25 @@
 
 @dataclass(slots=True)
 class Progress:
-    """What a leader knows of one follower."""
+    """What a leader knows of one follower.
+
+    `snapshot_ticks`
+        Ticks in which no snapshot is sent again: one is on its way.
+    `probe_index`
+        After a refusal, the lowest index tried since; no entries are sent
+        until one is accepted. None: the follower's log is known to match.
+    `probe_ticks`
+        Ticks in which only a refusal below `probe_index` counts: each message
+        that was on its way is refused too.
+    """
 
     next_index: int
     match_index: int = 0
     active: bool = True
     sequence: int = 0
     snapshot_ticks: int = 0
+    probe_index: int | None = None
+    probe_ticks: int = 0
 
 
 class Consensus:
@@ -392,6 +407,7 @@
         """Send a round when due; step down when a quorum is silent."""
         for progress in self.progress_by_identity.values():
             progress.snapshot_ticks = max(0, progress.snapshot_ticks - 1)
+            progress.probe_ticks = max(0, progress.probe_ticks - 1)
         if self.quiet_ticks % HEARTBEAT_TICKS == 0:
             self.broadcast()
         if self.quiet_ticks >= ELECTION_TICKS[0]:
@@ -482,7 +498,9 @@
         if log_term is None:
             self.send_snapshot(identity, progress)
             return
-        entries = tuple(self.limit_bytes(self.log.after(before, MAX_ENTRIES)))
+        entries = ()
+        if progress.probe_index is None:
+            entries = tuple(self.limit_bytes(self.log.after(before, MAX_ENTRIES)))
         self.send(
             MessageKind.APPEND,
             identity,
@@ -521,14 +539,25 @@
             progress.match_index = max(progress.match_index, message.index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
             progress.snapshot_ticks = 0
+            progress.probe_index = None
             self.advance_commit()
-        else:
-            retry_from = min(message.index, self.log.last_index) + 1
-            progress.next_index = max(progress.match_index + 1, retry_from)
+        elif not self.probe_lower(progress, message):
+            return
         if progress.next_index <= self.log.last_index:
             self.send_append(message.sender)
         self.release_reads()
 
+    def probe_lower(self, progress, message):
+        """Step back after a refusal; return whether it says anything new."""
+        retry = min(message.index, self.log.last_index)
+        known = progress.probe_index
+        if known is not None and retry >= known and progress.probe_ticks:
+            return False
+        progress.probe_index = retry if known is None else min(retry, known)
+        progress.probe_ticks = PROBE_TICKS
+        progress.next_index = max(progress.match_index, progress.probe_index) + 1
+        return True
+
     def advance_commit(self):
         """Commit what a majority of the voters has of this term."""
         matches = sorted(
--- a/hingepitch/control/peer.py
+++ b/hingepitch/control/peer.py
@@ -23,6 +23,10 @@
 
 MAX_QUEUED = 512
 CALL_SECONDS = 2.0
+
+#: A call takes messages until their content passes this; each message is
+#: copied twice on its way out.
+MAX_BATCH_BYTES = 2_000_000
 PAUSE_AFTER_FAILURE_SECONDS = 0.2
 
 
@@ -70,6 +74,16 @@
         raise HingepitchError("bad_request", str(error)) from None
 
 
+def take_batch(messages):
+    """Yield messages off a queue, at least one, as many as fit one call."""
+    total = 0
+    while messages and total < MAX_BATCH_BYTES:
+        message = messages.popleft()
+        total += len(message.snapshot)
+        total += sum(len(entry.payload) for entry in message.entries)
+        yield message
+
+
 class Link:
     """The messages that wait for one replica."""
 
@@ -108,10 +122,8 @@
         while True:
             link.filled.wait()
             link.filled.clear()
-            batch = list(link.messages)
-            link.messages.clear()
-            if batch:
-                self.deliver(link, batch)
+            while link.messages:
+                self.deliver(link, list(take_batch(link.messages)))
 
     def deliver(self, link, batch):
         """Deliver one batch; on failure drop it and pause."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -9,6 +9,7 @@
     Member,
     Message,
     MessageKind,
+    Propose,
     ProposeMembers,
     Receive,
     Recovered,
@@ -202,3 +203,38 @@
     assert entries[-1].payload == encode_members(core.members[:2])
     again = make_core(entries=entries)
     assert again.voters == ["n0", "n1"]
+
+
+def appends(actions):
+    """Return the entries sent to n1, one tuple a message."""
+    sent = [action.message for action in actions if isinstance(action, Send)]
+    return [
+        message.entries
+        for message in sent
+        if message.kind is MessageKind.APPEND and message.receiver == "n1"
+    ]
+
+
+def test_many_refusals_bring_one_probe_without_entries():
+    core = make_core()
+    lead(core)
+    core.step(Propose([b"payload"] * 20, [object()] * 20))
+    refusal = Message(MessageKind.APPEND_ANSWER, "n1", "n0", core.term, index=0)
+    sent = [
+        entries for _ in range(10) for entries in appends(core.step(Receive(refusal)))
+    ]
+    assert sent == [()]
+    match = Message(MessageKind.APPEND_ANSWER, "n1", "n0", core.term, granted=True)
+    assert [len(entries) for entries in appends(core.step(Receive(match)))] == [21]
+
+
+def test_a_lost_probe_is_sent_again():
+    core = make_core()
+    lead(core)
+    core.step(Propose([b"payload"], [object()]))
+    refusal = Message(MessageKind.APPEND_ANSWER, "n1", "n0", core.term, index=0)
+    assert appends(core.step(Receive(refusal)))
+    assert not appends(core.step(Receive(refusal)))
+    for _ in range(5):
+        core.step(Tick())
+    assert appends(core.step(Receive(refusal)))
