--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,264 @@
+"""The dispatcher against stand-in minions that answer late, or not at all."""
+
+from types import SimpleNamespace
+
+import gevent
+import pytest
+from gevent.event import Event
+
+from adapter.minion import HttpMinion
+from hingepitch.error import HingepitchError
+from hingepitch.httpd import wait_until
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.dispatch import Dispatcher, DispatchTerms
+from hingepitch.jobs.record import JobStatus
+from hingepitch.jobs.roster import MinionRoster
+from hingepitch.jobs.spec import Step
+from hingepitch.model.apply import apply
+from standin.taskminion import TaskMinion
+from tests.test_job_rules import JOB, Log, make_config, make_minion, task
+
+TERMS = DispatchTerms(
+    lease_seconds=1.0, lapse_seconds=0.2, beat_seconds=60.0, look_wait_ms=500
+)
+SECONDS = 8
+
+
+class OneReplica:
+    """A group of one: what is proposed is committed at once."""
+
+    def __init__(self, log):
+        self.log = log
+        self.is_leader = True
+        self.core = SimpleNamespace(term=1, role="leader")
+        self.changed = Event()
+
+    @property
+    def state(self):
+        return self.log.state
+
+    def propose(self, envelope):
+        if not self.is_leader:
+            raise HingepitchError("not_leader")
+        self.log.index += 1
+        outcome = apply(self.state, envelope, self.log.index)
+        self.wake()
+        return outcome
+
+    def wake(self):
+        self.changed.set()
+        self.changed = Event()
+
+    def confirm(self):
+        if not self.is_leader:
+            raise HingepitchError("not_leader")
+
+
+class Rig:
+    """A dispatcher and its stand-in minions."""
+
+    def __init__(self, *minions):
+        self.log = Log()
+        self.log.send(commands.PutQueues(make_config()))
+        self.minions = minions
+        self.lives = {}
+        for number, minion in enumerate(minions):
+            self.register(number, minion)
+        self.replica = OneReplica(self.log)
+        self.roster = MinionRoster()
+        self.dispatcher = Dispatcher(
+            self.replica, self.roster, HttpMinion, TERMS, "test"
+        )
+        self.greenlet = gevent.spawn(self.dispatcher.run)
+
+    def register(self, number, minion):
+        record = make_minion(
+            number, id=minion.life, address=minion.address, cpu_millicores=16_000
+        )
+        self.log.send(commands.RegisterMinion(record, 0))
+
+    def submit(self, *steps):
+        assert self.log.submit(*steps) == ""
+        self.replica.wake()
+
+    def cancel(self):
+        self.log.send(commands.CancelJob(JOB, 0))
+        self.replica.wake()
+
+    def wait_status(self, status, seconds=SECONDS):
+        assert wait_until(lambda: self.log.status is status, seconds), self.log.status
+
+    def lead_again(self):
+        """Let another leadership begin, as if another process had it."""
+        self.replica.is_leader = False
+        assert wait_until(lambda: self.dispatcher.session is None, SECONDS)
+        self.replica.core.term += 1
+        self.replica.is_leader = True
+        assert wait_until(lambda: self.dispatcher.session is not None, SECONDS)
+
+    def close(self):
+        self.greenlet.kill()
+        for minion in self.minions:
+            minion.close()
+
+
+@pytest.fixture
+def rig():
+    made = []
+
+    def make(*minions):
+        made.append(Rig(*minions))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def test_a_job_runs_step_by_step_and_its_ends_are_taken(rig):
+    minion = TaskMinion(task_seconds=0.05)
+    here = rig(minion)
+    here.submit(Step(3), Step(2, after=(0,)))
+    here.wait_status(JobStatus.SUCCEEDED)
+    assert [name.split(".")[2] for name, _, _ in minion.starts] == list("00011")
+    assert wait_until(
+        lambda: not minion.ended or minion.calls[-1][1]["last_seen"] == 5, 3
+    )
+
+
+@pytest.mark.parametrize("fault", ["late", "lost", "dropped"])
+def test_a_start_without_an_answer_is_settled_before_the_next_run(rig, fault):
+    minion = TaskMinion(task_seconds=0.4)
+    minion.faults.starts.append(fault)
+    minion.faults.late_seconds = 1.6
+    here = rig(minion)
+    here.submit(Step(1))
+    here.wait_status(JobStatus.SUCCEEDED)
+    gevent.sleep(1.0)
+    done = [row for row in minion.starts if row[0] == f"{JOB}.0.0.0"]
+    assert len(done) == 1, done
+
+
+def test_a_run_whose_stop_gets_no_answer_is_not_started_elsewhere(rig):
+    first, second = TaskMinion(), TaskMinion()
+    here = rig(first, second)
+    here.submit(Step(1, lasts=True))
+    assert wait_until(lambda: first.starts or second.starts, SECONDS)
+    busy, free = (first, second) if first.starts else (second, first)
+    busy.faults.stops += ["dropped"] * 2
+    run = here.log.table.run_by_task[task()]
+    assert wait_until(lambda: here.dispatcher.session.is_at_work(task()), SECONDS)
+    here.dispatcher.session.evacuate(run)
+    here.dispatcher.session.agent_by_minion[busy.life].set_aside(60)
+    assert wait_until(lambda: any(kind == "stop" for kind, _ in busy.calls), SECONDS)
+    assert not free.starts
+    assert wait_until(lambda: free.starts, SECONDS)
+    assert not busy.running
+
+
+def test_a_cancelled_job_is_stopped_everywhere(rig):
+    minions = [TaskMinion(), TaskMinion()]
+    here = rig(*minions)
+    here.submit(Step(6))
+    assert wait_until(lambda: sum(len(one.running) for one in minions) == 6, SECONDS)
+    here.cancel()
+    assert wait_until(lambda: not any(one.running for one in minions), SECONDS)
+    assert wait_until(lambda: not here.log.table.run_by_task, SECONDS)
+
+
+def test_a_new_leader_adopts_what_runs(rig):
+    minion = TaskMinion()
+    here = rig(minion)
+    here.submit(Step(3, lasts=True))
+    assert wait_until(lambda: len(minion.running) == 3, SECONDS)
+    here.lead_again()
+    assert wait_until(lambda: here.dispatcher.session.is_at_work(task()), SECONDS)
+    assert len(minion.starts) == 3
+    assert minion.fence == 2
+    assert not any(kind == "stop" for kind, _ in minion.calls)
+
+
+def test_a_new_leader_does_not_trust_a_run_that_never_arrived(rig):
+    minion = TaskMinion(task_seconds=0.05)
+    here = rig(minion)
+    assert wait_until(lambda: here.dispatcher.session is not None, SECONDS)
+    here.replica.is_leader = False
+    assert wait_until(lambda: here.dispatcher.session is None, SECONDS)
+    here.log.submit(Step(1))
+    here.log.start(task(), minion=minion.life)
+    here.replica.core.term = 5
+    here.replica.is_leader = True
+    here.wait_status(JobStatus.SUCCEEDED)
+    assert [run for _, run, _ in minion.starts] == [2]
+    assert ("stop", 1) in [(kind, body.get("run")) for kind, body in minion.calls]
+
+
+def test_another_life_at_the_address_frees_the_tasks(rig):
+    first, second = TaskMinion(), TaskMinion()
+    here = rig(first)
+    here.submit(Step(1, lasts=True))
+    assert wait_until(lambda: first.running, SECONDS)
+    first.restart()
+    here.minions = (first, second)
+    here.register(1, second)
+    here.replica.wake()
+    here.dispatcher.session.woken.set()
+    assert wait_until(lambda: second.running, SECONDS)
+
+
+def test_a_silent_minion_keeps_its_tasks_until_its_lease_is_over(rig):
+    first, second = TaskMinion(), TaskMinion()
+    here = rig(first)
+    here.submit(Step(1, lasts=True))
+    assert wait_until(lambda: first.running, SECONDS)
+    first.faults.looks += ["dropped"] * 50
+    here.minions = (first, second)
+    here.register(1, second)
+    here.replica.wake()
+    assert wait_until(lambda: second.running, SECONDS)
+    assert first.clock_ms() > first.until
+
+
+def test_a_leader_that_is_not_confirmed_gives_no_orders(rig):
+    minion = TaskMinion()
+    here = rig(minion)
+    assert wait_until(lambda: here.dispatcher.session is not None, SECONDS)
+    session = here.dispatcher.session
+    session.confirmed_at = -1e9
+    here.replica.confirm = lambda: gevent.sleep(60)
+    assert wait_until(lambda: not session.may_order(), SECONDS)
+    here.submit(Step(1))
+    gevent.sleep(0.5)
+    assert not minion.starts
+
+
+def test_nothing_is_started_on_a_minion_that_drains(rig):
+    minion = TaskMinion()
+    here = rig(minion)
+    record = make_minion(0, id=minion.life, address=minion.address, is_draining=True)
+    here.log.send(commands.RegisterMinion(record, 0))
+    here.submit(Step(1))
+    gevent.sleep(0.5)
+    assert not minion.starts
+
+
+def test_a_refused_start_costs_no_attempt(rig):
+    minion = TaskMinion(task_seconds=0.05)
+    minion.faults.starts += [503, 429, 503]
+    here = rig(minion)
+    here.submit(Step(1))
+    here.wait_status(JobStatus.SUCCEEDED)
+    assert here.log.table.job_by_id[JOB].status is JobStatus.SUCCEEDED
+    assert [run for _, run, _ in minion.starts] == [4]
+
+
+def test_a_job_that_always_fails_ends_after_its_attempts(rig):
+    minion = TaskMinion()
+    here = rig(minion)
+    here.submit(Step(1))
+    for number in (1, 2):
+        assert wait_until(lambda n=number: len(minion.starts) == n, SECONDS)
+        name, run, _ = minion.starts[-1]
+        minion.finish(minion.life, name, run, "failed")
+    here.wait_status(JobStatus.FAILED)
+    assert len(minion.starts) == 2
