VMs follow the demand of the pools; idle ones go to the spares

Ruled out: more room by order of jobs alone. Change: a pure decision by load (plan_moves), moves recorded before they are ordered and only for VMs without runs; packing instead of spreading.

--- a/hingepitch/error.py
+++ b/hingepitch/error.py
@@ -75,6 +75,7 @@
     "storage_failed": ErrorKind(503, "The data folder cannot be written"),
     "storage_damaged": ErrorKind(500, "The log is damaged"),
     "folder_locked": ErrorKind(500, "Another process uses the data folder"),
+    "peer_unreachable": ErrorKind(503, "No connection to another process"),
     "peer_failed": ErrorKind(502, "The call to another process failed"),
     "minion_failed": ErrorKind(502, "The minion gave no whole answer"),
     "deadline_passed": ErrorKind(504, "The deadline has passed"),
--- a/hingepitch/group.py
+++ b/hingepitch/group.py
@@ -21,7 +21,14 @@
 
 #: Codes after which another replica may be asked the same thing.
 PASSING_CODES = frozenset(
-    ("not_leader", "no_leader", "peer_failed", "storage_failed", "lost_leadership")
+    (
+        "not_leader",
+        "no_leader",
+        "peer_unreachable",
+        "peer_failed",
+        "storage_failed",
+        "lost_leadership",
+    )
 )
 
 
@@ -137,7 +144,7 @@
 
 def may_resend(envelope, error):
     """Whether a command may be sent again after `error`."""
-    if error.code in ("not_leader", "no_leader"):
+    if error.code in ("not_leader", "no_leader", "peer_unreachable"):
         return True
     unknown = error.code in ("peer_failed", "lost_leadership", "storage_failed")
     return unknown and bool(envelope.command_id)
--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -114,7 +114,7 @@
         self.beat_at = 0.0
         self.aside_until = 0.0
         self.is_gone = False
-        self.greenlets = []
+        self.greenlets = set()
 
     # Life cycle.
 
@@ -125,9 +125,14 @@
             gevent.spawn(self.keep_looking),
         ]
 
+    def spawn(self, function, *arguments):
+        """Run a function for as long as this agent is in service."""
+        self.greenlets = {one for one in self.greenlets if not one.dead}
+        self.greenlets.add(self.session.spawn(function, *arguments))
+
     def stop(self):
         """Kill the greenlets and close the connections."""
-        gevent.killall(self.greenlets, block=False)
+        gevent.killall(list(self.greenlets), block=False)
         self.client.close()
 
     # What the others ask.
@@ -205,8 +210,7 @@
         else:
             return
         view.is_ordering = True
-        self.greenlets = [one for one in self.greenlets if not one.dead]
-        self.greenlets.append(gevent.spawn(self.carry_out, order, view))
+        self.spawn(self.carry_out, order, view)
 
     def carry_out(self, order, view):
         """Give one order, when its turn has come."""
--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -21,7 +21,14 @@
 
 #: Codes after which the question has surely changed nothing.
 HARMLESS_CODES = frozenset(
-    ("not_leader", "no_leader", "queue_full", "no_queues", "too_many_jobs")
+    (
+        "not_leader",
+        "no_leader",
+        "peer_unreachable",
+        "queue_full",
+        "no_queues",
+        "too_many_jobs",
+    )
 )
 
 #: Codes after which the question may have been taken.
@@ -29,7 +36,7 @@
 
 #: Harmless codes that another replica, or the same a little later, may not
 #: repeat.
-PASSING_CODES = frozenset(("not_leader", "no_leader"))
+PASSING_CODES = frozenset(("not_leader", "no_leader", "peer_unreachable"))
 
 RETRY_AFTER_MS = 1000
 
--- a/hingepitch/jobs/command.py
+++ b/hingepitch/jobs/command.py
@@ -16,8 +16,10 @@
 
 __all__ = [
     "AcceptJob",
+    "BeginMove",
     "BeginUpkeep",
     "CancelJob",
+    "EndMove",
     "EndRuns",
     "JOB_COMMANDS",
     "OpenRounds",
@@ -153,6 +155,21 @@
     stage: UpkeepStage | None
 
 
+@dataclass(frozen=True, slots=True)
+class BeginMove:
+    """Take a VM without runs out of its pool, before the order goes out."""
+
+    vm: str
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndMove:
+    """A move is over, or was refused."""
+
+    vm: str
+
+
 JOB_COMMANDS = (
     PutQueues,
     AcceptJob,
@@ -165,4 +182,6 @@
     PutWave,
     BeginUpkeep,
     SettleUpkeep,
+    BeginMove,
+    EndMove,
 )
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -18,7 +18,10 @@
 from hingepitch.jobs.agent import Agent, RunViewStatus
 from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
 from hingepitch.jobs.contact import StartOrder
+from hingepitch.jobs.load import measure_pools
+from hingepitch.jobs.mover import MoveDesk
 from hingepitch.jobs.plan import Outlook, plan_starts
+from hingepitch.jobs.pool import PoolTerms
 from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.upkeep import UpkeepDesk
 from hingepitch.log import log_event
@@ -38,6 +41,9 @@
 #: Changes within this time are planned together, in seconds.
 GATHER_SECONDS = 0.002
 
+#: Time between two log lines on the load of a pool, in seconds.
+LOAD_SECONDS = 1.0
+
 #: Pause between two looks that do not wait, in seconds.
 LOOK_PAUSE_SECONDS = 0.1
 
@@ -60,6 +66,8 @@
         A due time may begin this much early.
     `upkeep_seconds`
         How long a VM is down for its upkeep.
+    `pools`
+        When VMs change pool.
     """
 
     lease_seconds: float = 6.0
@@ -69,6 +77,7 @@
     look_wait_ms: int = 2000
     early_ms: int = 0
     upkeep_seconds: float = 2.0
+    pools: PoolTerms = PoolTerms()
 
     @property
     def lease_until_over_seconds(self):
@@ -95,11 +104,13 @@
         self.terms = terms
         self.name = name
         self.upkeep = UpkeepDesk(self, platform, terms.upkeep_seconds)
+        self.mover = MoveDesk(self, platform, terms.pools)
         self.fence = replica.core.term
         self.started_at = lease_seconds()
         self.confirmed_at = 0.0
         self.is_over = False
         self.agent_by_minion = {}
+        self.greenlets = set()
         self.woken = Event()
         self.inherited = {
             (run.task, run.number) for run in self.table.run_by_task.values()
@@ -275,9 +286,11 @@
 
     def run(self):
         """Work until the leadership has passed."""
-        loops = [gevent.spawn(self.keep_confirming), gevent.spawn(self.follow_changes)]
+        for loop in (self.keep_confirming, self.follow_changes, self.log_loads):
+            self.spawn(loop)
         if self.upkeep.platform is not None:
-            loops.append(gevent.spawn(self.upkeep.run))
+            self.spawn(self.upkeep.run)
+            self.spawn(self.mover.run)
         try:
             while self.leads():
                 self.woken.wait(PASS_SECONDS)
@@ -285,9 +298,28 @@
                 gevent.sleep(GATHER_SECONDS)
                 self.work_once()
         finally:
-            gevent.killall(loops, block=False)
+            self.is_over = True
+            gevent.killall(list(self.greenlets), block=False)
             for agent in self.agent_by_minion.values():
-                agent.stop()
+                agent.client.close()
+
+    def spawn(self, function, *arguments):
+        """Run a function for as long as the session lasts; return the greenlet.
+
+        A failure ends the session: the next one starts anew from the log.
+        """
+        greenlet = gevent.spawn(function, *arguments)
+        self.greenlets.add(greenlet)
+        greenlet.link(self.note_end)
+        return greenlet
+
+    def note_end(self, greenlet):
+        """Forget a greenlet; end the session if it failed."""
+        self.greenlets.discard(greenlet)
+        if not greenlet.successful():
+            log_event("child_failed", child="session", error=repr(greenlet.exception))
+            self.is_over = True
+            self.woken.set()
 
     def keep_confirming(self):
         """Confirm the leadership again and again."""
@@ -307,6 +339,22 @@
             self.woken.set()
             gevent.sleep(0)
 
+    def log_loads(self):
+        """Log the load of each pool, now and then."""
+        while True:
+            gevent.sleep(LOAD_SECONDS)
+            for pool, load in measure_pools(self.table).items():
+                log_event(
+                    "pool_load",
+                    pool=pool,
+                    minions=load.minions,
+                    room=load.room,
+                    running=load.running,
+                    lasting=load.lasting,
+                    waiting=load.waiting,
+                    waiting_tasks=load.waiting_tasks,
+                )
+
     def work_once(self):
         """Keep the agents in step, open due rounds, plan, record."""
         self.match_agents()
--- a/hingepitch/jobs/fleet.py
+++ b/hingepitch/jobs/fleet.py
@@ -48,6 +48,8 @@
 
     `life`
         The life of the minion on it, or empty.
+    `kind`
+        Its first label; VMs of one kind are alike.
     """
 
     vm: str
@@ -55,3 +57,4 @@
     state: VmState
     hall: str
     life: str
+    kind: str = ""
--- /dev/null
+++ b/hingepitch/jobs/mover.py
@@ -0,0 +1,266 @@
+"""
+hingepitch.jobs.mover
+~~~~~~~~~~~~~~~~~~~~~
+
+Moves VMs between pools for one leadership, by what the pools want.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+
+import gevent
+
+from hingepitch.clock import lease_seconds
+from hingepitch.jobs.command import BeginMove, EndMove, RemoveMinion
+from hingepitch.jobs.fleet import FleetReply, VmState
+from hingepitch.jobs.load import PoolLoad, measure_pools
+from hingepitch.jobs.pool import IdleVm, PoolView, plan_moves, wanted_minions
+from hingepitch.jobs.service import wall_ms
+from hingepitch.log import log_event
+
+__all__ = ["MoveDesk"]
+
+#: Time between two decisions, in seconds.
+STEP_SECONDS = 0.1
+
+#: Longest wait for an answer of the platform, in seconds.
+CALL_SECONDS = 2.0
+
+#: After a call without an answer the same is ordered again, and nothing else
+#: is ordered for the VM for so long, in seconds: the platform may still carry
+#: the first call out. Source: such calls were carried out up to 12 s late.
+UNSURE_SECONDS = 15.0
+
+#: A VM that was busy is left alone for so long, in seconds.
+BUSY_SECONDS = 1.0
+
+#: The platform's list is read at most this often, in seconds.
+LIST_SECONDS = 5.0
+
+#: A pool keeps wanting what it wanted within this time, in seconds.
+PEAK_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class Peak:
+    """The most that a pool wanted lately."""
+
+    wanted: int = 0
+    at: float = 0.0
+
+    def note(self, wanted, now):
+        """Note what is wanted now; return the peak."""
+        if wanted >= self.wanted or now - self.at > PEAK_SECONDS:
+            self.wanted = wanted
+            self.at = now
+        return self.wanted
+
+
+class MoveDesk:
+    """Carries out moves of VMs for one leadership.
+
+    `session`
+        The leadership: its table, its agents, its commands.
+    `platform`
+        Client with `move(vm, pool, holder, fence, seconds)` and
+        `list_vms(seconds)`.
+    `terms`
+        A `PoolTerms`.
+    """
+
+    def __init__(self, session, platform, terms):
+        self.session = session
+        self.platform = platform
+        self.terms = terms
+        self.calling = set()
+        self.done = set()
+        self.impossible = set()
+        self.held_until_by_vm = {}
+        self.idle_since_by_vm = {}
+        self.peak_by_pool = {}
+        self.spare_vms = {}
+        self.kind_by_vm = {}
+        self.listed_at = 0.0
+
+    def run(self):
+        """Decide and move until killed."""
+        while True:
+            gevent.sleep(STEP_SECONDS)
+            config = self.session.table.config
+            if config is None or not self.session.may_order():
+                continue
+            if not any(pool.is_spare for pool in config.pools):
+                continue
+            self.step(config, lease_seconds())
+
+    def step(self, config, now):
+        """Carry on the moves that were begun, then begin others."""
+        self.read_list(now)
+        table = self.session.table
+        for vm, pool in list(table.move_by_vm.items()):
+            if (vm, pool) not in self.done:
+                self.call_once_at_a_time(vm, pool)
+        self.done &= set(table.move_by_vm.items())
+        views = list(self.views(config, now))
+        for move in list(plan_moves(views, self.terms, self.impossible)):
+            self.begin(move)
+
+    # What the decision needs.
+
+    def read_list(self, now):
+        """Learn which VMs are spare, now and then."""
+        if now - self.listed_at < LIST_SECONDS:
+            return
+        self.listed_at = now
+        rows = self.platform.list_vms(CALL_SECONDS)
+        if rows is None:
+            return
+        spare_pools = {
+            pool.name for pool in self.session.table.config.pools if pool.is_spare
+        }
+        self.kind_by_vm = {row.vm: row.kind for row in rows}
+        self.spare_vms = {
+            row.vm: row.pool
+            for row in rows
+            if row.pool in spare_pools
+            and row.state in (VmState.UP, VmState.DOWN)
+            and row.vm not in self.session.table.life_by_vm
+        }
+
+    def views(self, config, now):
+        """Yield a `PoolView` of each pool."""
+        table = self.session.table
+        loads = measure_pools(table)
+        used = {queue.pool for queue in config.queues}
+        for pool in config.pools:
+            load = loads.get(pool.name, PoolLoad())
+            view = PoolView(pool.name, is_spare=pool.is_spare)
+            if pool.is_spare:
+                view.idle = list(self.spare_idle(pool.name))
+                view.present = len(view.idle)
+            elif pool.name in used and load.minions:
+                room_of_one = load.room // load.minions
+                wanted = wanted_minions(load, self.terms, room_of_one)
+                peak = self.peak_by_pool.setdefault(pool.name, Peak())
+                view.wanted = peak.note(wanted, now)
+            if not pool.is_spare:
+                view.idle = list(self.idle_of(pool.name, now))
+                view.present = load.minions + self.incoming(pool.name)
+                view.present -= self.outgoing(pool.name)
+            view.kinds = frozenset(
+                minion.kind
+                for minion in table.minion_by_id.values()
+                if minion.pool == pool.name
+            )
+            yield view
+
+    def incoming(self, pool):
+        """Return how many VMs are on their way to a pool."""
+        return sum(to == pool for to in self.session.table.move_by_vm.values())
+
+    def outgoing(self, pool):
+        """Return how many registered VMs are on their way out of a pool."""
+        table = self.session.table
+        lives = (table.life_by_vm.get(vm) for vm in table.move_by_vm)
+        minions = (table.minion_by_id[life] for life in lives if life)
+        return sum(minion.pool == pool for minion in minions)
+
+    def is_free(self, vm, now):
+        """Whether a VM has no move, no upkeep, and no call that is unsettled."""
+        table = self.session.table
+        return (
+            vm not in table.move_by_vm
+            and vm not in table.vms_in_upkeep()
+            and vm not in self.session.upkeep.leaving_since_by_vm
+            and now > self.held_until_by_vm.get(vm, 0.0)
+        )
+
+    def spare_idle(self, pool):
+        """Yield the spare VMs of a pool."""
+        now = lease_seconds()
+        for vm, at in self.spare_vms.items():
+            if at == pool and self.is_free(vm, now):
+                yield IdleVm(vm, self.kind_by_vm.get(vm, ""), 0.0)
+
+    def idle_of(self, pool, now):
+        """Yield the VMs of a pool that have nothing to do."""
+        table = self.session.table
+        for minion in table.minion_by_id.values():
+            vm = minion.vm
+            if minion.pool != pool:
+                continue
+            if table.runs_by_minion.get(minion.id) or minion.is_draining:
+                self.idle_since_by_vm.pop(vm, None)
+                continue
+            since = self.idle_since_by_vm.setdefault(vm, now)
+            if self.is_free(vm, now):
+                yield IdleVm(vm, minion.kind, now - since)
+
+    # Orders to the platform.
+
+    def begin(self, move):
+        """Record that a VM begins to move, then order it."""
+        life = self.session.table.life_by_vm.get(move.vm)
+        if self.session.runs_of(life):
+            return
+        if self.session.propose(BeginMove(move.vm, move.pool)):
+            self.spare_vms.pop(move.vm, None)
+            self.call_once_at_a_time(move.vm, move.pool)
+
+    def call_once_at_a_time(self, vm, pool):
+        """Order a move, unless an order for the VM is on its way."""
+        if vm in self.calling:
+            return
+        self.calling.add(vm)
+        self.session.spawn(self.call, vm, pool)
+
+    def call(self, vm, pool):
+        """Order a move and record what became of it."""
+        try:
+            life = self.session.table.life_by_vm.get(vm)
+            reply = self.platform.move(
+                vm, pool, self.session.name, self.session.fence, CALL_SECONDS
+            )
+            log_event(
+                "move_step",
+                vm=vm,
+                pool=pool,
+                fence=self.session.fence,
+                reply=reply.value,
+            )
+            self.settle(vm, pool, life, reply)
+        finally:
+            self.calling.discard(vm)
+
+    def settle(self, vm, pool, life, reply):
+        """Record the answer of the platform, where it is final."""
+        if reply is FleetReply.DONE:
+            self.finish(vm, pool, life)
+        elif reply is FleetReply.UNKNOWN_VM:
+            self.impossible.add((self.kind_by_vm.get(vm, ""), pool))
+            self.session.propose(EndMove(vm))
+        elif reply in (FleetReply.BUSY, FleetReply.NOT_IN_WAVE):
+            self.hold(vm, BUSY_SECONDS)
+            self.session.propose(EndMove(vm))
+        elif reply is FleetReply.FENCED:
+            self.session.fenced(vm)
+        elif reply is FleetReply.UNSURE:
+            self.hold(vm, UNSURE_SECONDS)
+
+    def finish(self, vm, pool, life):
+        """Record that a VM has moved: its life there is over."""
+        self.done.add((vm, pool))
+        self.idle_since_by_vm.pop(vm, None)
+        config_pool = self.session.table.config.pool(pool)
+        if life is not None:
+            self.session.propose(RemoveMinion(life, wall_ms()))
+        if config_pool is not None and config_pool.is_spare:
+            self.spare_vms[vm] = pool
+            self.session.propose(EndMove(vm))
+
+    def hold(self, vm, seconds):
+        """Leave a VM where it is for a while."""
+        until = lease_seconds() + seconds
+        self.held_until_by_vm[vm] = max(until, self.held_until_by_vm.get(vm, 0.0))
--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -50,7 +50,8 @@
         """Return the usable minions of a pool."""
         if not self.minions_by_pool:
             for minion in self.table.minion_by_id.values():
-                if minion.id in self.outlook.usable and not minion.is_draining:
+                usable = minion.id in self.outlook.usable
+                if usable and not self.table.is_leaving(minion):
                     self.minions_by_pool.setdefault(minion.pool, []).append(minion)
         return self.minions_by_pool.get(pool, [])
 
@@ -223,7 +224,7 @@
     """Return the minion for one more task of a step, or None.
 
     Near the data first, then the least doubted, then the one that has the
-    largest part of its processors free.
+    least of its processors free: the others stay empty and may be lent.
     """
     carried = work.carried(key)
     best = None
@@ -237,7 +238,7 @@
         score = (
             bool(step.data_rack) and minion.rack != step.data_rack,
             work.outlook.doubt_by_minion.get(minion.id, 0.0),
-            room.cpu_millicores / max(1, minion.cpu_millicores),
+            -room.cpu_millicores / max(1, minion.cpu_millicores),
         )
         if best is None or score < best_score:
             best, best_score = minion, score
--- a/hingepitch/jobs/record.py
+++ b/hingepitch/jobs/record.py
@@ -175,6 +175,11 @@
     accelerators: int
     is_draining: bool = False
 
+    @property
+    def kind(self):
+        """The kind of its VM: the first label."""
+        return self.labels[0] if self.labels else ""
+
 
 class UpkeepStage(enum.Enum):
     """How far the upkeep of one VM is.
--- a/hingepitch/jobs/rule.py
+++ b/hingepitch/jobs/rule.py
@@ -116,7 +116,7 @@
     minion = table.minion_by_id.get(start.minion)
     if job is None or not job.is_open:
         return "the job is not open"
-    if minion is None or minion.is_draining:
+    if minion is None or table.is_leaving(minion):
         return "the minion is gone or leaving"
     return task_fault(table, job, key) or place_fault(table, job, key, minion)
 
@@ -191,6 +191,7 @@
     wave = need_wave(state, command.number)
     if command.vm not in wave.vms_waiting:
         raise Refusal("wrong_life", f"{command.vm} does not wait for upkeep")
+    check_free(state.jobs, command.vm)
     if len(wave.vms_down) >= wave.max_down:
         raise Refusal("budget_spent", f"{wave.max_down} VMs are down")
     wave.stage_by_vm[command.vm] = UpkeepStage.BEGUN
@@ -203,3 +204,22 @@
         wave.stage_by_vm.pop(command.vm, None)
     else:
         wave.stage_by_vm[command.vm] = command.stage
+
+
+def check_free(table, vm):
+    """Refuse unless nothing runs on a VM and nobody else takes it."""
+    if vm in table.move_by_vm or vm in table.vms_in_upkeep():
+        raise Refusal("wrong_life", f"{vm} is being taken already")
+    if table.runs_by_minion.get(table.life_by_vm.get(vm)):
+        raise Refusal("not_drained", f"runs go on on {vm}")
+
+
+@apply_command.register
+def _(command: commands.BeginMove, state, envelope, index):
+    check_free(state.jobs, command.vm)
+    state.jobs.move_by_vm[command.vm] = command.pool
+
+
+@apply_command.register
+def _(command: commands.EndMove, state, envelope, index):
+    state.jobs.move_by_vm.pop(command.vm, None)
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -24,6 +24,7 @@
     Run,
     RunResult,
     TaskStatus,
+    UpkeepStage,
     Wave,
 )
 
@@ -74,6 +75,7 @@
     runs: list[Run]
     waves: list[Wave]
     ended_lives: list[str]
+    moves: dict[str, str] = {}
 
 
 class JobTable:
@@ -86,6 +88,8 @@
         Open jobs with due times that were not begun.
     `taken_by_minion`
         The room that runs take, by life of a minion.
+    `move_by_vm`
+        The pool to which a VM is being moved.
     """
 
     def __init__(self):
@@ -98,6 +102,7 @@
         self.taken_by_minion = {}
         self.carried_by_step = {}
         self.wave_by_number = {}
+        self.move_by_vm = {}
         self.ended_lives = {}
         self.ended_jobs = {}
         self.ready_steps = {}
@@ -309,6 +314,8 @@
             self.remove_minion(before, at_ms)
         self.minion_by_id[minion.id] = minion
         self.life_by_vm[minion.vm] = minion.id
+        if self.move_by_vm.get(minion.vm) == minion.pool:
+            del self.move_by_vm[minion.vm]
         self.runs_by_minion.setdefault(minion.id, {})
         self.taken_by_minion.setdefault(minion.id, Room())
 
@@ -327,6 +334,20 @@
         while len(self.ended_lives) > MAX_ENDED_LIVES:
             del self.ended_lives[next(iter(self.ended_lives))]
 
+    def vms_in_upkeep(self):
+        """Return the VMs whose upkeep has begun and is not over."""
+        waves = self.wave_by_number.values()
+        return {vm for wave in waves for vm in wave.vms_down}
+
+    def is_leaving(self, minion):
+        """Whether a minion drains, or its VM is being taken from it."""
+        if minion.is_draining or minion.vm in self.move_by_vm:
+            return True
+        return any(
+            wave.stage_by_vm.get(minion.vm) is UpkeepStage.BEGUN
+            for wave in self.wave_by_number.values()
+        )
+
     # Snapshots.
 
     def to_content(self):
@@ -338,6 +359,7 @@
             runs=list(self.run_by_task.values()),
             waves=list(self.wave_by_number.values()),
             ended_lives=list(self.ended_lives),
+            moves=self.move_by_vm,
         )
 
     @classmethod
@@ -348,6 +370,7 @@
         for minion in content.minions:
             table.put_minion(minion, 0)
         table.ended_lives = dict.fromkeys(content.ended_lives)
+        table.move_by_vm = content.moves
         table.wave_by_number = {wave.number: wave for wave in content.waves}
         for job in content.jobs:
             table.restore_job(job)
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -103,7 +103,10 @@
         """Choose the VMs that are emptied next, the least busy first."""
         chosen = [vm for vm in wave.vms_waiting if vm in self.leaving_since_by_vm]
         free = wave.max_down - len(wave.vms_down) - len(chosen)
-        others = [vm for vm in wave.vms_waiting if vm not in chosen]
+        moving = self.session.table.move_by_vm
+        others = [
+            vm for vm in wave.vms_waiting if vm not in chosen and vm not in moving
+        ]
         others.sort(key=lambda vm: (len(self.runs_on(vm)), vm))
         for vm in others[: max(0, free)]:
             self.leaving_since_by_vm[vm] = now
@@ -173,7 +176,7 @@
         """Order the upkeep of a VM, unless an order is on its way."""
         if vm not in self.calling:
             self.calling.add(vm)
-            gevent.spawn(self.call, wave, vm)
+            self.session.spawn(self.call, wave, vm)
 
     def call(self, wave, vm):
         """Order the upkeep of a VM and record what became of it."""
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -51,6 +51,8 @@
     "minion_removed": "INFO",
     "minion_lapsed": "WARNING",
     "run_ordered": "INFO",
+    "move_step": "INFO",
+    "pool_load": "INFO",
     "run_evacuated": "INFO",
     "run_ended": "INFO",
     "unknown_run": "WARNING",
--- a/hingepitch/model/apply.py
+++ b/hingepitch/model/apply.py
@@ -179,6 +179,8 @@
         job_commands.RemoveMinion,
         job_commands.BeginUpkeep,
         job_commands.SettleUpkeep,
+        job_commands.BeginMove,
+        job_commands.EndMove,
     },
     Role.PLANNER: {
         commands.TakePlannerLease,
--- a/hingepitch/rpc.py
+++ b/hingepitch/rpc.py
@@ -177,7 +177,8 @@
         Longest wait for an answer.
 
     Calls go one after another. They raise `HingepitchError`: the code of
-    the other side, or `peer_failed` when there is no answer.
+    the other side, `peer_unreachable` when the call was surely not sent, or
+    `peer_failed` when there is no answer.
     """
 
     def __init__(self, address, name, key, timeout_seconds=5.0):
@@ -204,17 +205,19 @@
     def call(self, method, *arguments):
         """Call `method` of the service and return its answer."""
         with self.lock:
+            code = "peer_unreachable"
             try:
                 with gevent.Timeout(self.timeout_seconds):
                     if self.stub is None:
                         self.connect()
+                    code = "peer_failed"
                     return getattr(self.stub, method)(*arguments)
             except Refused as error:
                 raise self.to_error(error) from None
             except (TException, OSError, EOFError, gevent.Timeout) as error:
                 self.close()
                 detail = f"{self.address}: {error!r}"
-                raise HingepitchError("peer_failed", detail) from None
+                raise HingepitchError(code, detail) from None
             except BaseException:
                 self.close()
                 raise
--- a/tests/test_frame.py
+++ b/tests/test_frame.py
@@ -128,6 +128,7 @@
     "code, with_id, expected",
     [
         ("not_leader", False, True),
+        ("peer_unreachable", False, True),
         ("peer_failed", False, False),
         ("peer_failed", True, True),
         ("lost_leadership", True, True),
