Tests of the adapter, the planner and the pools; tasks that want one rack wait for it

A step whose tasks share a rack was spread when no rack had room at the moment; it now waits, unless no rack could hold it even when empty (test red before, green after).

--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -8,6 +8,7 @@
 :license: BSD, see LICENSE for details.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 from hingepitch.jobs.command import Start
@@ -162,9 +163,8 @@
     """Yield a start for each of `indexes` as long as a minion has room."""
     step = job.spec.steps[key[2]]
     candidates = list(eligible(work, job, key, step))
-    rack = chosen_rack(work, key, step, candidates)
-    if rack is not None:
-        candidates = [minion for minion in candidates if minion.rack == rack]
+    if step.same_rack:
+        candidates = in_one_rack(work, key, step, candidates)
     for index in indexes:
         minion = best_minion(work, key, step, candidates)
         if minion is None:
@@ -187,30 +187,32 @@
         yield minion
 
 
-def chosen_rack(work, key, step, candidates):
-    """Return the rack that all tasks of a step must share, or None.
+def in_one_rack(work, key, step, candidates):
+    """Return the candidates in the rack that the tasks of a step share.
 
     The rack that has some of them already, else the one with the most room.
+    While none has room for all, nothing is returned: the step waits, unless
+    no rack would have room for it even when empty.
     """
-    if not step.same_rack:
-        return None
     for minion_id, count in work.carried(key).items():
         minion = work.table.minion_by_id.get(minion_id)
         if count and minion is not None:
-            return minion.rack
-    slots_by_rack = {}
+            return [one for one in candidates if one.rack == minion.rack]
+    free_by_rack = Counter()
+    all_by_rack = Counter()
     for minion in candidates:
-        slots = slots_on(work, step, minion)
-        slots_by_rack[minion.rack] = slots_by_rack.get(minion.rack, 0) + slots
-    if not slots_by_rack:
-        return None
-    rack = max(slots_by_rack, key=slots_by_rack.get)
-    return rack if slots_by_rack[rack] >= step.count else None
-
-
-def slots_on(work, step, minion):
-    """Return how many tasks of `step` fit on `minion` now."""
-    room = work.room(minion)
+        free_by_rack[minion.rack] += slots_on(step, minion, work.room(minion))
+        all_by_rack[minion.rack] += slots_on(step, minion, Room())
+    if not any(slots >= step.count for slots in all_by_rack.values()):
+        return candidates
+    rack, slots = free_by_rack.most_common(1)[0]
+    if slots < step.count:
+        return []
+    return [one for one in candidates if one.rack == rack]
+
+
+def slots_on(step, minion, room):
+    """Return how many tasks of `step` fit on `minion` beside what is taken."""
     free = (
         (minion.cpu_millicores - room.cpu_millicores, step.counted_millicores),
         (minion.memory_mb - room.memory_mb, step.memory_mb),
--- /dev/null
+++ b/tests/test_job_plan.py
@@ -0,0 +1,206 @@
+"""The planner and the pools: pure decisions over a table."""
+
+import pytest
+
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.load import PoolLoad, measure_pools
+from hingepitch.jobs.plan import Outlook, plan_starts
+from hingepitch.jobs.pool import (
+    IdleVm,
+    Move,
+    PoolTerms,
+    PoolView,
+    plan_moves,
+    wanted_minions,
+)
+from hingepitch.jobs.queue import AdviceTerms, Queue
+from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.spec import Step, chain_from_ms, longest_chain_ms
+from hingepitch.jobs.upkeep import patience_seconds
+from tests.test_job_rules import HOST, JOB, Log, make_config, make_minion, task
+
+OTHER = "00000000000000bb"
+
+
+def make_log(*minions, **config):
+    log = Log()
+    log.send(commands.PutQueues(make_config(**config)))
+    for minion in minions:
+        log.send(commands.RegisterMinion(minion, 0))
+    return log
+
+
+def plan(log, now_ms=0, **outlook):
+    usable = outlook.pop("usable", set(log.table.minion_by_id))
+    return plan_starts(log.table, Outlook(now_ms, usable, **outlook))
+
+
+def places(starts):
+    return [(start.task.index, start.minion) for start in starts]
+
+
+def test_tasks_fill_the_room_and_no_more():
+    log = make_log(make_minion(1), make_minion(2))
+    log.submit(Step(7, cpu_millicores=1500))
+    starts, gangs = plan(log)
+    assert len(starts) == 4 and not gangs
+    log.send(commands.StartRuns(starts, gangs, 0))
+    assert len(log.table.run_by_task) == 4
+    assert plan(log) == ((), ())
+
+
+def test_minions_that_are_not_usable_or_leave_get_nothing():
+    log = make_log(make_minion(1), make_minion(2), make_minion(3))
+    log.send(commands.BeginMove("vm-2", "other"))
+    log.submit(Step(9))
+    starts, _ = plan(log, usable={"i-1", "i-2"})
+    assert {start.minion for start in starts} == {"i-1"}
+
+
+def test_tasks_share_a_minion_so_that_others_stay_empty():
+    log = make_log(make_minion(1), make_minion(2))
+    log.submit(Step(2, cpu_millicores=1000))
+    starts, _ = plan(log)
+    assert len({start.minion for start in starts}) == 1
+
+
+def test_a_gang_is_planned_whole_or_not_at_all():
+    log = make_log(make_minion(1))
+    log.submit(Step(3, cpu_millicores=2000, gang=True))
+    log.submit(Step(2, cpu_millicores=2000, gang=True), job=OTHER)
+    starts, gangs = plan(log)
+    assert not starts
+    assert [[start.task.job for start in gang] for gang in gangs] == [[OTHER] * 2]
+
+
+def test_the_rack_of_the_data_is_preferred_but_not_waited_for():
+    log = make_log(make_minion(1), make_minion(2, rack="r2", labels=("a", "r2")))
+    log.submit(Step(4, cpu_millicores=2000, data_rack="r2"))
+    starts, _ = plan(log)
+    assert [start.minion for start in starts] == ["i-2", "i-2", "i-1", "i-1"]
+
+
+def test_tasks_that_want_one_rack_stay_in_it():
+    racks = [make_minion(n, rack=f"r{n}", labels=("a", f"r{n}")) for n in (1, 2)]
+    log = make_log(*racks, make_minion(3, rack="r2", labels=("a", "r2")))
+    log.submit(Step(4, cpu_millicores=2000, same_rack=True))
+    starts, _ = plan(log)
+    assert {start.minion for start in starts} == {"i-2", "i-3"}
+    log.submit(Step(3, cpu_millicores=2000, same_rack=True), job=OTHER)
+    assert all(start.task.job == JOB for start in plan(log)[0])
+
+
+def test_a_step_that_no_rack_could_hold_is_spread():
+    racks = [make_minion(n, rack=f"r{n}", labels=("a", f"r{n}")) for n in (1, 2)]
+    log = make_log(*racks)
+    log.submit(Step(4, cpu_millicores=2000, same_rack=True))
+    assert len(plan(log)[0]) == 4
+
+
+def test_labels_and_the_most_on_one_minion_are_kept():
+    log = make_log(make_minion(1), make_minion(2, labels=("b", "r1")))
+    log.submit(Step(5, required_label="b", max_per_minion=2))
+    assert [start.minion for start in plan(log)[0]] == ["i-2", "i-2"]
+
+
+def test_urgent_queues_and_tasks_that_serve_go_first():
+    queues = tuple(
+        Queue(name, HOST, f"/{name}/", "pool", priority=at, timeout_ms=1)
+        for at, name in enumerate(("first", "second"))
+    )
+    log = make_log(make_minion(1), queues=queues)
+    names = [f"{number:016x}" for number in range(3)]
+    log.submit(Step(1), job=names[0], path="/second/")
+    log.submit(Step(1), job=names[1], path="/first/")
+    log.submit(Step(1, lasts=True), job=names[2], path="/first/")
+    starts, _ = plan(log)
+    assert [start.task.job for start in starts] == [names[2], names[1], names[0]]
+
+
+def test_a_job_that_cannot_be_in_time_stands_back():
+    log = make_log(make_minion(1))
+    log.submit(Step(1, estimate_ms=9000), at_ms=0)
+    log.submit(Step(1, estimate_ms=100), job=OTHER, at_ms=400)
+    assert [start.task.job for start in plan(log, 500)[0]] == [OTHER, JOB]
+
+
+def test_a_queue_with_advice_uses_permitted_minions_only():
+    advice = AdviceTerms(10, 1, 1000)
+    queue = Queue("q", HOST, "/q/", "pool", timeout_ms=1, advice=advice)
+    log = make_log(make_minion(1), make_minion(2), queues=(queue,))
+    log.submit(Step(1))
+    assert plan(log) == ((), ())
+    starts, _ = plan(log, permitted_by_step={(JOB, 0, 0): {"i-2"}})
+    assert [start.minion for start in starts] == ["i-2"]
+
+
+def test_chains_follow_the_longest_way():
+    steps = (
+        Step(1, estimate_ms=100),
+        Step(1, estimate_ms=500),
+        Step(1, estimate_ms=50, after=(0,)),
+        Step(1, estimate_ms=70, after=(2, 1)),
+    )
+    assert longest_chain_ms(steps) == 570
+    assert chain_from_ms(steps, 0) == 220
+    assert chain_from_ms(steps, 1) == 570
+    assert chain_from_ms(steps, 3) == 70
+
+
+def test_loads_tell_what_runs_lasts_and_waits():
+    log = make_log(make_minion(1), make_minion(2, is_draining=True))
+    log.submit(Step(3, cpu_millicores=1000), Step(1, after=(0,)))
+    log.submit(Step(1, cpu_millicores=500, lasts=True), job=OTHER)
+    log.start(task(), task(job=OTHER))
+    assert measure_pools(log.table) == {"pool": PoolLoad(1, 4000, 1500, 500, 2000, 2)}
+    log.end(task(), RunResult.DONE)
+    assert measure_pools(log.table)["pool"].running == 500
+
+
+TERMS = PoolTerms(use_part=1.0, floor=1, idle_seconds=3, lend_seconds=1)
+
+
+def idle(*seconds, kind="a", name="vm"):
+    return [IdleVm(f"{name}-{at}", kind, one) for at, one in enumerate(seconds)]
+
+
+def test_a_pool_wants_room_for_what_runs_and_waits():
+    load = PoolLoad(running=5000, waiting=4000)
+    assert wanted_minions(load, TERMS, 4000) == 3
+    assert wanted_minions(PoolLoad(), TERMS, 4000) == 1
+
+
+def test_a_busy_pool_takes_spares_first_then_what_others_can_lend():
+    busy = PoolView("busy", wanted=4, present=1)
+    calm = PoolView("calm", wanted=1, present=3, idle=idle(0.2, 2, 5, name="calm"))
+    spare = PoolView("spare", is_spare=True, idle=idle(0, name="spare"))
+    moves = list(plan_moves([busy, calm, spare], TERMS))
+    assert moves == [
+        Move("spare-0", "busy"),
+        Move("calm-2", "busy"),
+        Move("calm-1", "busy"),
+    ]
+
+
+def test_a_pool_keeps_its_floor_and_gives_long_idle_vms_to_the_spares():
+    pool = PoolView("pool", wanted=1, present=3, idle=idle(9, 9, 2))
+    spare = PoolView("spare", is_spare=True)
+    assert list(plan_moves([pool, spare], TERMS)) == [
+        Move("vm-0", "spare"),
+        Move("vm-1", "spare"),
+    ]
+
+
+@pytest.mark.parametrize("kinds, impossible", [({"b"}, ()), ((), {("a", "busy")})])
+def test_vms_that_do_not_fit_a_pool_are_not_moved_there(kinds, impossible):
+    busy = PoolView("busy", wanted=2, present=1, kinds=frozenset(kinds))
+    spare = PoolView("spare", is_spare=True, idle=idle(0))
+    assert not list(plan_moves([busy, spare], TERMS, frozenset(impossible)))
+
+
+@pytest.mark.parametrize(
+    "left, waiting, down, seconds",
+    [(20, 4, 2, 6.0), (20, 4, 1, 1.0), (5, 4, 1, 0.0), (20, 0, 1, 20.0)],
+)
+def test_vms_wait_for_their_runs_while_the_wave_has_time(left, waiting, down, seconds):
+    assert patience_seconds(left, waiting, down, 2.0) == seconds
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,399 @@
+"""The adapter: settings, wire forms and the APIs over a group of one."""
+
+import json
+
+import falcon.testing
+import pytest
+
+from adapter.control import ControlApi
+from adapter.front import FrontApi
+from adapter.settings import read_settings
+from adapter.wire import decode_beat, decode_job, parse_ended
+from hingepitch.error import HingepitchError
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.client import JobClient
+from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.roster import MinionRoster
+from hingepitch.jobs.service import JobService
+from hingepitch.jobs.spec import Step, TaskKey
+from hingepitch.metric import Metrics
+from tests.test_dispatch import OneReplica
+from tests.test_job_rules import HOST, JOB, Log, task
+
+SETTINGS = """
+node: "Core-1"
+ip: "10.1.0.11"
+zone: "hall-a"
+unknown_field: {a: 1}
+listen: {control: "10.1.0.11:8623"}
+port_range: [7060, 7075]
+seeds: ["10.1.0.11:8623", "10.2.0.26:8623"]
+bootstrap: true
+data_dir: "/data/x"
+fault_tolerance: {machines: 2, zones: 0}
+bounds: {hold_max_ms: 6000, stop_ms: 200, unknown: 3}
+cloud: {address: "10.200.0.1:8621", rate_per_s: 64.0}
+"""
+
+ROUTE = {
+    "name": "r",
+    "host": HOST,
+    "path_prefix": "/q/",
+    "kind": "unsafe",
+    "timeout_ms": 3000,
+    "target_latency_ms": 600,
+    "priority": 1,
+    "service": "pool",
+    "attempts": 2,
+    "stretch": 1.6,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "pool", "max_conns": 64, "admission_check": True, "spare": False},
+        {"name": "off", "spare": True},
+    ],
+    "limits": {"max_body_bytes": 262144},
+}
+BEAT = {
+    "service": "pool",
+    "address": "127.0.0.1:9001",
+    "zone": "h",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0},
+    "labels": ["a", "r1"],
+    "machine": "m-1",
+    "clock_ms": 5,
+    "seq": 4,
+}
+
+
+@pytest.fixture
+def settings(tmp_path):
+    def load(text):
+        path = tmp_path / "local.yaml"
+        path.write_text(text)
+        return read_settings(str(path))
+
+    return load
+
+
+def test_settings_become_the_products_own(settings):
+    platform = settings(SETTINGS)
+    control = platform.to_control()
+    assert control.name == "control-10-1-0-11"
+    assert control.rpc_address == "10.1.0.11:7060"
+    assert control.http_address == "10.1.0.11:8623"
+    assert [peer.address for peer in control.peers] == [
+        "10.1.0.11:7060",
+        "10.2.0.26:7060",
+    ]
+    assert control.voters == 5
+
+
+@pytest.mark.parametrize(
+    "old, new, path",
+    [
+        ('zone: "hall-a"', "", "zone"),
+        ("[7060, 7075]", "[7060]", "port_range"),
+        ('control: "10.1.0.11:8623"', "control: 5", "listen.control"),
+        ("machines: 2", "machines: many", "fault_tolerance.machines"),
+        ("hold_max_ms: 6000", "hold_max_ms: []", "bounds.hold_max_ms"),
+        ('"10.2.0.26:8623"]', '"nowhere"]', "seeds[1]"),
+    ],
+)
+def test_a_fault_in_the_settings_is_named_by_its_path(settings, old, new, path):
+    assert old in SETTINGS
+    with pytest.raises(HingepitchError) as caught:
+        settings(SETTINGS.replace(old, new))
+    assert caught.value.code == "bad_settings"
+    assert caught.value.detail.startswith(f"{path}:")
+
+
+def test_a_job_is_decoded_into_its_own_terms():
+    step = {
+        "count": 4,
+        "cpu": 500,
+        "mem_mb": 256,
+        "estimate_ms": 900,
+        "affinity": "r1-3",
+        "requirements": "b",
+        "anti_affinity": 2,
+        "long_running": True,
+        "may_miss": 1,
+        "fills": True,
+        "checkpointing": True,
+        "speculative": True,
+        "target_ms": 30,
+    }
+    body = {"spec": "text", "steps": [step], "repeat_count": 3, "start_at_ms": 9}
+    spec = decode_job(json.dumps(body).encode())
+    assert (spec.payload, spec.times, spec.first_due_ms) == ("text", 3, 9)
+    assert spec.steps == (
+        Step(
+            count=4,
+            cpu_millicores=500,
+            memory_mb=256,
+            estimate_ms=900,
+            data_rack="r1-3",
+            required_label="b",
+            max_per_minion=2,
+            lasts=True,
+            max_away=1,
+            fills_spare_cpu=True,
+            saves_progress=True,
+            allows_copies=True,
+            target_ms=30,
+        ),
+    )
+
+
+def test_a_minions_account_is_decoded_into_its_own_terms():
+    beat = decode_beat("i-1", json.dumps({**BEAT, "state": "draining"}).encode())
+    assert (beat.sequence, beat.clock_ms) == (4, 5)
+    assert beat.minion.is_draining
+    assert (beat.minion.vm, beat.minion.pool, beat.minion.rack) == ("m-1", "pool", "r1")
+
+
+def test_an_end_is_decoded_into_its_own_terms():
+    end = parse_ended([58, f"{JOB}.0.1.9", 3, "lapsed", "half"])
+    assert end.task == TaskKey(JOB, 0, 1, 9)
+    assert (end.sequence, end.number) == (58, 3)
+    assert (end.result, end.checkpoint) == (RunResult.LAPSED, "half")
+
+
+class System:
+    """Both APIs over a group of one."""
+
+    def __init__(self):
+        self.log = Log()
+        self.replica = OneReplica(self.log)
+        self.service = JobService(self.replica, MinionRoster(), None, "test")
+        client = JobClient(None, self.replica, self.service)
+        front = FrontApi(client, Metrics("test")).make()
+        self.front = falcon.testing.TestClient(front)
+        control = ControlApi(client, lambda: "10.0.0.1:80").make()
+        self.control = falcon.testing.TestClient(control)
+
+    def call(self, method, path, body=None, host=HOST):
+        data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        return self.front.simulate_request(
+            method, path, body=data, headers={"Host": host}, extras={"RAW_PATH": path}
+        )
+
+    def put_config(self, body):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return self.control.simulate_put("/-/config", body=data).status_code
+
+    def beat(self, life="i-1", **changes):
+        body = json.dumps({**BEAT, **changes}).encode()
+        return self.control.simulate_put(f"/-/instances/{life}", body=body)
+
+
+@pytest.fixture
+def system():
+    made = System()
+    assert made.put_config(CONFIG) == 200
+    return made
+
+
+JOB_BODY = {"spec": "text", "steps": [{"count": 2}]}
+
+
+def test_a_job_is_accepted_asked_for_and_cancelled(system):
+    assert system.call("GET", f"/q/{JOB}").status_code == 410
+    assert system.call("DELETE", f"/q/{JOB}").status_code == 410
+    assert system.call("POST", f"/q/{JOB}", JOB_BODY).status_code == 200
+    assert system.call("POST", f"/q/{JOB}", JOB_BODY).status_code == 200
+    assert system.call("GET", f"/q/{JOB}").json == {"state": "pending"}
+    assert system.call("GET", "/q/").json == {"pending": 1}
+    assert system.call("DELETE", f"/q/{JOB}").status_code == 200
+    assert system.call("GET", f"/q/{JOB}").json == {"state": "cancelled"}
+
+
+def test_a_queue_that_does_not_exist_is_not_found(system):
+    for method, path in (
+        ("POST", f"/no/{JOB}"),
+        ("GET", f"/no/{JOB}"),
+        ("GET", "/no/"),
+    ):
+        assert system.call(method, path, JOB_BODY).status_code == 404
+    assert system.call("GET", "/q/", host="other.example").status_code == 404
+
+
+def test_without_a_configuration_nothing_is_taken():
+    system = System()
+    for method, path in (("POST", f"/q/{JOB}"), ("GET", f"/q/{JOB}"), ("GET", "/q/")):
+        answer = system.call(method, path, JOB_BODY)
+        assert answer.status_code == 503
+        assert answer.headers["Retry-After"] == "1"
+    assert system.control.simulate_get("/-/config").status_code == 503
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"spec":"x"}',
+        b'{"spec":5,"steps":[]}',
+        b'{"spec":"x","steps":[]}',
+        b'{"spec":"x","steps":[{"count":0}]}',
+        b'{"spec":"x","steps":[{"count":-1}]}',
+        b'{"spec":"x","steps":[{"count":"1"}]}',
+        b'{"spec":"x","steps":[{"count":1,"after":[0]}]}',
+        b'{"spec":"x","steps":[{"count":1},{"count":1,"after":[5]}]}',
+        b'{"spec":"x","steps":[{"count":99999999}]}',
+        b'{"spec":"x","steps":[{"count":1,"cpu":-5}]}',
+        b'{"spec":"x","steps":[{"count":1}],"repeat_count":-1}',
+        b'{"spec":"x","steps":[{"count":1e400}]}',
+        b'{"spec":"\xff","steps":[{"count":1}]}',
+        b"[" * 100_000,
+        json.dumps({**JOB_BODY, "spec": "x" * 4001}).encode(),
+    ],
+)
+def test_a_malformed_job_is_refused_and_changes_nothing(system, body):
+    answer = system.call("POST", f"/q/{JOB}", body)
+    assert answer.status_code == 400
+    assert answer.json["code"] in ("bad_request", "bad_job")
+    assert not system.log.table.job_by_id
+
+
+@pytest.mark.parametrize("path", ["/q/", "/q/xyz", "/q/" + "0" * 17, "/q/" + "g" * 16])
+def test_a_path_without_a_job_id_takes_no_job(system, path):
+    assert system.call("POST", path, JOB_BODY).status_code in (400, 404)
+    assert not system.log.table.job_by_id
+
+
+def test_a_body_over_the_limit_is_refused(system):
+    answer = system.call("POST", f"/q/{JOB}", b"x" * 262_145)
+    assert answer.status_code == 413
+
+
+def test_the_configuration_is_read_back_as_it_was_sent(system):
+    sent = json.dumps({**CONFIG, "version": 9, "more": [1]}, indent=3).encode()
+    assert system.put_config(sent) == 200
+    assert system.control.simulate_get("/-/config").content == sent
+
+
+def test_an_older_or_equal_configuration_is_acknowledged_and_changes_nothing(system):
+    for version in (6, 7):
+        other = {**CONFIG, "version": version, "routes": []}
+        assert system.put_config(other) == 200
+    assert system.control.simulate_get("/-/config").json == CONFIG
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"routes": [{**ROUTE, "service": "nowhere"}]},
+        {"routes": [ROUTE, {**ROUTE, "name": "r2"}]},
+        {"routes": [{**ROUTE, "timeout_ms": 0}]},
+        {"routes": [{key: ROUTE[key] for key in ROUTE if key != "timeout_ms"}]},
+        {"routes": None},
+        {"services": None},
+        {"limits": None},
+        {"version": "8"},
+    ],
+    ids=str,
+)
+@pytest.mark.parametrize("version", [3, 8])
+def test_an_invalid_configuration_is_refused_whatever_its_version(
+    system, changes, version
+):
+    assert system.put_config({**CONFIG, "version": version, **changes}) == 400
+    assert system.log.table.config.version == 7
+
+
+def test_a_configuration_cut_short_is_refused(system):
+    whole = json.dumps({**CONFIG, "version": 8}).encode()
+    for end in range(0, len(whole), 7):
+        assert system.put_config(whole[:end]) == 400
+
+
+def test_a_minion_is_registered_and_told_where_the_leader_is(system):
+    assert system.beat().json == {"heartbeat_url": "10.0.0.1:80"}
+    assert system.log.table.minion_by_id["i-1"].pool == "pool"
+    system.beat(seq=5, state="draining")
+    assert system.log.table.minion_by_id["i-1"].is_draining
+    assert system.beat(seq=4).status_code == 200
+    assert system.log.table.minion_by_id["i-1"].is_draining
+
+
+def test_a_draining_that_is_acknowledged_bars_every_later_start(system):
+    system.call("POST", f"/q/{JOB}", JOB_BODY)
+    system.beat()
+    system.beat(seq=5, state="draining")
+    assert system.log.start(task()) == [False]
+
+
+def test_a_minion_that_left_does_not_come_back_by_a_late_call(system):
+    system.beat()
+    assert system.control.simulate_delete("/-/instances/i-1").status_code == 200
+    assert system.beat(seq=9).status_code == 200
+    assert "i-1" not in system.log.table.minion_by_id
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"service":1}', b"[]"])
+def test_a_malformed_account_is_refused(system, body):
+    answer = system.control.simulate_put("/-/instances/i-1", body=body)
+    assert answer.status_code == 400
+    assert not system.log.table.minion_by_id
+
+
+def test_a_wave_is_running_until_every_vm_had_its_upkeep(system):
+    wave = {"wave": 3, "machines": ["m-1"], "duration_s": 20.5, "max_items": 1}
+    for _ in range(2):
+        answer = system.control.simulate_post("/-/wave-start", json=wave)
+        assert answer.status_code == 200
+    get = system.control.simulate_get
+    assert get("/-/wave-get/3").json == {"state": "running"}
+    assert get("/-/wave-get/4").status_code == 404
+    system.log.send(commands.BeginUpkeep(3, "m-1", 0))
+    system.log.send(commands.SettleUpkeep(3, "m-1", commands.UpkeepStage.OVER))
+    assert get("/-/wave-get/3").json == {"state": "succeeded"}
+    bad = {**wave, "wave": 5, "max_items": 0}
+    assert system.control.simulate_post("/-/wave-start", json=bad).status_code == 400
+
+
+class Refusing:
+    """A group whose calls end with the codes given, then with an answer."""
+
+    def __init__(self, *codes):
+        self.codes = list(codes)
+
+    def call_once(self, method, data):
+        if self.codes:
+            raise HingepitchError(self.codes.pop(0), retry_after_ms=1000)
+        return b"\xc0"
+
+
+@pytest.mark.parametrize(
+    "codes, expected",
+    [
+        ((), None),
+        (("not_leader", "peer_unreachable", "no_leader"), None),
+        (("peer_failed", "not_leader"), None),
+        (("too_many_jobs",), "too_many_jobs"),
+        (("unknown_queue",), "unknown_queue"),
+        (("no_leader",) * 99, "no_leader"),
+        (("peer_unreachable",) * 99, "no_leader"),
+        (("peer_failed",) * 99, "deadline_passed"),
+        (("peer_failed", *("no_leader",) * 99), "deadline_passed"),
+        (("lost_leadership", "too_many_jobs"), "deadline_passed"),
+        (("storage_failed", "no_queues"), "deadline_passed"),
+    ],
+)
+def test_a_call_that_may_have_been_taken_is_never_called_refused(codes, expected):
+    client = JobClient(Refusing(*codes))
+    if expected is None:
+        assert client.ask(None, 0.5, 0.3) is None
+        return
+    with pytest.raises(HingepitchError) as caught:
+        client.ask(None, 0.5, 0.3)
+    assert caught.value.code == expected
+    assert (caught.value.status == 504) == (expected == "deadline_passed")
