--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -84,9 +84,10 @@
 class Process:
     """One process that this cluster started."""
 
-    def __init__(self, name, command, folder):
+    def __init__(self, name, command, folder, env=None):
         self.name = name
         self.command = command
+        self.env = {**os.environ, **(env or {})}
         self.log_path = folder / f"{name}.log"
         self.popen = None
 
@@ -94,7 +95,7 @@
         """Start it, adding to its log."""
         with open(self.log_path, "ab") as log:
             self.popen = subprocess.Popen(
-                self.command, stdout=log, stderr=log, cwd=ROOT
+                self.command, stdout=log, stderr=log, cwd=ROOT, env=self.env
             )
 
     def signal(self, number):
--- /dev/null
+++ b/standin/site.py
@@ -0,0 +1,243 @@
+"""
+standin.site
+~~~~~~~~~~~~
+
+The system on a small stand-in of the users' platform: real processes on
+loopback addresses, with settings files as the platform writes them.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import json
+import os
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+import yaml
+
+from standin.cluster import Process, free_ports, http_call, wait_for
+
+__all__ = ["HOST", "Site"]
+
+HOST = "queue.example"
+POOL = "pool"
+
+
+class Site:
+    """Control replicas, entries and one process of stand-in minions.
+
+    `controls`, `entries`, `minions`
+        How many of each; the first three controls are the seeds.
+    """
+
+    def __init__(self, controls=5, entries=2, minions=4, task_seconds=0.2):
+        self.folder = Path(tempfile.mkdtemp(prefix="hingepitch-site-"))
+        self.port, self.rpc_port, self.ready_port = free_ports(3)
+        self.control_ips = [self.ip(1, number) for number in range(controls)]
+        self.entry_ips = [self.ip(2, number) for number in range(entries)]
+        self.process_by_ip = {}
+        self.notes = self.folder / "notes"
+        for ip in self.control_ips + self.entry_ips:
+            self.process_by_ip[ip] = self.make_process(ip)
+        self.fleet = self.make_fleet(minions, task_seconds)
+
+    def ip(self, network, number):
+        """Return the loopback address of a process."""
+        return f"127.{os.getpid() % 200 + 10}.{network}.{number + 1}"
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def close(self):
+        """End everything that was started, and remove the files."""
+        for process in [*self.process_by_ip.values(), self.fleet]:
+            if process.is_running():
+                process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Files.
+
+    def write_settings(self, ip, bootstrap):
+        """Write the settings file of a process."""
+        is_control = ip in self.control_ips
+        listen = {"control": f"{ip}:{self.port}"}
+        if not is_control:
+            listen = {
+                "front": f"{ip}:{self.port}",
+                "readiness": f"{ip}:{self.ready_port}",
+            }
+        settings = {
+            "node": f"node-{ip.replace('.', '-')}",
+            "ip": ip,
+            "zone": "hall-a",
+            "listen": listen,
+            "port_range": [self.rpc_port, self.rpc_port],
+            "seeds": [f"{one}:{self.port}" for one in self.control_ips[:3]],
+            "bootstrap": bootstrap,
+            "data_dir": str(self.folder / ip) if is_control else None,
+            "fault_tolerance": {"machines": (len(self.control_ips) - 1) // 2},
+            "bounds": {"hold_max_ms": 3000, "grace_s": 3},
+            "heartbeat_ms": 500,
+        }
+        (self.folder / f"{ip}.yaml").write_text(yaml.safe_dump(settings))
+
+    def make_process(self, ip):
+        """Return the process at an address."""
+        role = "control" if ip in self.control_ips else "entry"
+        command = [sys.executable, "platform/main.py", role]
+        env = {"HINGEPITCH_SETTINGS": str(self.folder / f"{ip}.yaml")}
+        return Process(ip, command, self.folder, env)
+
+    def make_fleet(self, minions, task_seconds):
+        """Return the process of the stand-in minions."""
+        description = {
+            "controls": [f"{ip}:{self.port}" for ip in self.control_ips],
+            "notes": str(self.notes),
+            "minions": {f"m-{number}": POOL for number in range(minions)},
+            "task_seconds": task_seconds,
+        }
+        path = self.folder / "fleet.json"
+        path.write_text(json.dumps(description))
+        command = [sys.executable, "-m", "standin.taskfleet", str(path)]
+        return Process("fleet", command, self.folder)
+
+    # Life cycle.
+
+    def start(self):
+        """Start everything, and wait until every control replica votes."""
+        for ip, process in self.process_by_ip.items():
+            self.write_settings(ip, bootstrap=True)
+            process.start()
+        self.fleet.start()
+        wait_for(lambda: len(self.voters()) == len(self.control_ips), what="voters")
+        for ip in self.process_by_ip:
+            self.write_settings(ip, bootstrap=False)
+
+    def restart(self, ip):
+        """Start the process at an address again."""
+        process = self.process_by_ip[ip]
+        if process.is_running():
+            process.kill()
+        process.start()
+
+    def lose_disk(self, ip):
+        """Kill a control replica and remove its data folder."""
+        self.process_by_ip[ip].kill()
+        shutil.rmtree(self.folder / ip)
+
+    # What is seen from outside.
+
+    def status(self, ip):
+        """Return the status of a control replica, or None."""
+        try:
+            status, _, body = http_call(
+                f"{ip}:{self.port}", "GET", "/status", timeout=1
+            )
+        except OSError:
+            return None
+        return json.loads(body) if status == 200 else None
+
+    def leader(self):
+        """Return the address of the leader, or None."""
+        for ip in self.control_ips:
+            status = self.status(ip)
+            if status and status["role"] == "leader":
+                return ip
+        return None
+
+    def voters(self):
+        """Return the identities that vote, as the leader says."""
+        leader = self.leader()
+        status = leader and self.status(leader)
+        if not status:
+            return []
+        return [one["identity"] for one in status["members"] if one["voter"]]
+
+    def put_config(self, version, queues=("/q/",)):
+        """Send a configuration to any control replica; return the status."""
+        route = {"host": HOST, "timeout_ms": 3000, "service": POOL, "attempts": 3}
+        body = {
+            "version": version,
+            "routes": [
+                {**route, "name": f"r{at}", "path_prefix": prefix}
+                for at, prefix in enumerate(queues)
+            ],
+            "services": [{"name": POOL, "admission_check": True}],
+            "limits": {},
+        }
+        return self.on_any_control("PUT", "/-/config", json.dumps(body))[0]
+
+    def on_any_control(self, method, path, body=None):
+        """Call control replicas in turn until one answers below 500."""
+
+        def call():
+            for ip in self.control_ips:
+                try:
+                    result = http_call(
+                        f"{ip}:{self.port}", method, path, body, timeout=2
+                    )
+                except OSError:
+                    continue
+                if result[0] < 500:
+                    return result
+            return None
+
+        return wait_for(call, what=f"{method} {path}")
+
+    def call(self, method, path, body=None):
+        """Call the entries in turn until one answers below 500."""
+
+        def call():
+            for ip in self.entry_ips:
+                try:
+                    result = http_call(
+                        f"{ip}:{self.port}", method, path, body, {"Host": HOST}, 4
+                    )
+                except OSError:
+                    continue
+                if result[0] < 500:
+                    return result
+            return None
+
+        return wait_for(call, what=f"{method} {path}")
+
+    def submit(self, job, *widths):
+        """Hand in a job whose steps have these widths; return the status."""
+        steps = [
+            {"count": width, "cpu": 500, "after": [at - 1] if at else []}
+            for at, width in enumerate(widths)
+        ]
+        body = json.dumps({"spec": "text", "steps": steps})
+        return self.call("POST", f"/q/{job}", body)[0]
+
+    def state(self, job):
+        """Return the state of a job."""
+        return json.loads(self.call("GET", f"/q/{job}")[2])["state"]
+
+    def events(self):
+        """Return what the minions noted: when, what, who, task, run."""
+        if not self.notes.exists():
+            return []
+        return [json.loads(line) for line in self.notes.read_text().splitlines()]
+
+    def doubled_tasks(self):
+        """Return the tasks that ran twice at once, or again after their end."""
+        open_runs = {}
+        done = set()
+        doubled = set()
+        for _, what, minion, task, run in self.events():
+            if what == "start":
+                if open_runs.get(task) or task in done:
+                    doubled.add(task)
+                open_runs.setdefault(task, set()).add((minion, run))
+                continue
+            open_runs.get(task, set()).discard((minion, run))
+            if what == "done":
+                done.add(task)
+        return doubled
--- /dev/null
+++ b/standin/taskfleet.py
@@ -0,0 +1,113 @@
+"""
+standin.taskfleet
+~~~~~~~~~~~~~~~~~
+
+Stand-in minions that report to a system: one process for all of them.
+
+Run as python -m standin.taskfleet FILE; FILE names the control
+addresses, the minions and where to note every start and end.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from hingepitch.patch import patch_program
+
+patch_program()
+
+import json
+import sys
+import time
+
+import gevent
+
+from hingepitch.error import HingepitchError
+from hingepitch.jsoncall import call_json
+from standin.taskminion import TaskMinion
+
+__all__ = ["main"]
+
+BEAT_SECONDS = 0.5
+
+
+class ReportingMinion(TaskMinion):
+    """A minion that notes what it does and reports to the system."""
+
+    def __init__(self, name, pool, fleet, task_seconds):
+        super().__init__(task_seconds)
+        self.name = name
+        self.pool = pool
+        self.fleet = fleet
+        self.sequence = 0
+
+    def start_run(self, body):
+        """Start a run, and note it if it is a new one."""
+        before = len(self.starts)
+        result = super().start_run(body)
+        if len(self.starts) > before:
+            self.fleet.note("start", self, body["task"], body["run"])
+        return result
+
+    def end(self, task, how):
+        """End a run, and note it."""
+        run = self.running[task].run
+        super().end(task, how)
+        self.fleet.note(how, self, task, run)
+
+    def report(self):
+        """Report again and again, to any control replica that answers."""
+        controls = list(self.fleet.controls)
+        while True:
+            self.sequence += 1
+            body = {
+                "service": self.pool,
+                "address": self.address,
+                "zone": "hall-a",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "capacity": {"cpu": self.capacity, "mem_mb": 32_768, "gpu": 0},
+                "labels": ["a", "r1"],
+                "machine": self.name,
+                "clock_ms": self.clock_ms(),
+                "seq": self.sequence,
+            }
+            path = f"/-/instances/{self.life}"
+            try:
+                status, _ = call_json(controls[0], "PUT", path, body, None, 1.0)
+            except HingepitchError:
+                status = 0  # Nobody there: another replica is asked.
+            if status != 200:
+                controls.append(controls.pop(0))
+            gevent.sleep(BEAT_SECONDS if status == 200 else 0.05)
+
+
+class Fleet:
+    """All minions of one description."""
+
+    def __init__(self, description):
+        self.controls = description["controls"]
+        self.notes = open(description["notes"], "a", buffering=1)
+        self.minions = [
+            ReportingMinion(name, pool, self, description["task_seconds"])
+            for name, pool in description["minions"].items()
+        ]
+
+    def note(self, what, minion, task, run):
+        """Note one event as a line of JSON."""
+        row = [time.monotonic(), what, minion.name, task, run]
+        self.notes.write(json.dumps(row) + "\n")
+
+    def run(self):
+        """Report until killed."""
+        gevent.joinall([gevent.spawn(one.report) for one in self.minions])
+
+
+def main():
+    """Entry point."""
+    with open(sys.argv[1], encoding="utf-8") as file:
+        Fleet(json.load(file)).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_site.py
@@ -0,0 +1,108 @@
+"""The system on a stand-in of the platform: real processes, real failures."""
+
+import signal
+
+import pytest
+
+from standin.cluster import http_call, wait_for
+from standin.site import HOST, Site
+
+JOBS = [f"{number:016x}" for number in range(1, 31)]
+
+
+@pytest.fixture
+def site():
+    with Site() as made:
+        made.start()
+        assert made.put_config(1) == 200
+        yield made
+
+
+def all_succeeded(site, jobs):
+    return all(site.state(job) == "succeeded" for job in jobs)
+
+
+def finish(site, jobs):
+    wait_for(lambda: all_succeeded(site, jobs), 40, "the end of all jobs")
+    assert not site.doubled_tasks()
+
+
+def test_jobs_survive_the_kill_of_the_leader_and_run_once(site):
+    for job in JOBS[:10]:
+        assert site.submit(job, 3, 2) == 200
+    site.process_by_ip[site.leader()].kill()
+    for job in JOBS[10:20]:
+        assert site.submit(job, 3, 2) == 200
+    finish(site, JOBS[:20])
+
+
+def test_a_paused_leader_does_no_harm_when_it_wakes(site):
+    for job in JOBS[:10]:
+        assert site.submit(job, 3, 2) == 200
+    paused = site.process_by_ip[site.leader()]
+    paused.signal(signal.SIGSTOP)
+    for job in JOBS[10:20]:
+        assert site.submit(job, 3, 2) == 200
+    paused.signal(signal.SIGCONT)
+    finish(site, JOBS[:20])
+
+
+def test_all_controls_killed_at_once_lose_nothing(site):
+    for job in JOBS[:10]:
+        assert site.submit(job, 3, 2) == 200
+    assert site.put_config(5, ("/q/", "/more/")) == 200
+    for ip in site.control_ips:
+        site.process_by_ip[ip].kill()
+    for ip in site.control_ips:
+        site.restart(ip)
+    finish(site, JOBS[:10])
+    body = site.on_any_control("GET", "/-/config")[2]
+    assert b'"version": 5' in body
+
+
+def test_two_lost_disks_are_replaced_by_themselves_and_lose_nothing(site):
+    for job in JOBS[:10]:
+        assert site.submit(job, 3, 2) == 200
+    lost = site.control_ips[:2]
+    before = set(site.voters())
+    for ip in lost:
+        site.lose_disk(ip)
+    for ip in lost:
+        site.restart(ip)
+    wait_for(lambda: len(set(site.voters()) - before) == 2, 40, "two new voters")
+    assert len(site.voters()) == 5
+    for ip in site.control_ips[2:4]:
+        site.process_by_ip[ip].kill()
+    for job in JOBS[10:12]:
+        assert site.submit(job, 3) == 200
+    finish(site, JOBS[:12])
+
+
+def test_a_stopped_entry_answers_what_it_has_taken(site):
+    ip = site.entry_ips[0]
+    process = site.process_by_ip[ip]
+    ready = f"{ip}:{site.ready_port}"
+    assert http_call(ready, "GET", "/-/ready")[0] == 200
+    process.signal(signal.SIGHUP)
+    assert http_call(ready, "GET", "/-/ready")[0] == 200
+    process.signal(signal.SIGTERM)
+    wait_for(lambda: http_call(ready, "GET", "/-/ready")[0] == 503, what="not ready")
+    call = http_call(f"{ip}:{site.port}", "GET", "/q/", headers={"Host": HOST})
+    assert call[0] == 200
+    assert process.popen.wait(10) == 0
+
+
+def test_an_entry_without_controls_refuses_at_once_and_truly(site):
+    for ip in site.control_ips:
+        site.process_by_ip[ip].kill()
+    address = f"{site.entry_ips[0]}:{site.port}"
+    body = b'{"spec":"text","steps":[{"count":1}]}'
+    status, headers, _ = http_call(
+        address, "POST", f"/q/{JOBS[0]}", body, {"Host": HOST}, timeout=3
+    )
+    assert status == 503
+    assert {name.lower(): value for name, value in headers.items()}["retry-after"]
+    for ip in site.control_ips:
+        site.restart(ip)
+    wait_for(site.leader, what="a leader")
+    assert site.call("GET", f"/q/{JOBS[0]}")[0] == 410
