--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -273,6 +273,7 @@
         """Put a command into the log; return whether it is committed."""
         if not self.leads():
             return False
+        began = lease_seconds()
         try:
             outcome = self.replica.propose(
                 Envelope(Role.DISPATCHER, "", self.name, command)
@@ -280,6 +281,8 @@
         except HingepitchError as error:
             log_event("command_refused", command=type(command).__name__, error=error)
             return False
+        # A quorum took the command, so nobody else had been elected.
+        self.confirmed_at = max(began, self.confirmed_at)
         return outcome.accepted
 
     # The loops.
@@ -322,16 +325,21 @@
             self.woken.set()
 
     def keep_confirming(self):
-        """Confirm the leadership again and again."""
+        """Confirm the leadership again and again, unless commits do it."""
         while True:
             began = lease_seconds()
-            try:
-                self.replica.confirm()
-                self.confirmed_at = began
-            except HingepitchError as error:
-                log_event("leader_unconfirmed", fence=self.fence, error=error.code)
+            if began - self.confirmed_at > CONFIRM_SECONDS:
+                self.confirm(began)
             gevent.sleep(CONFIRM_SECONDS)
 
+    def confirm(self, began):
+        """Ask a quorum whether this replica still leads."""
+        try:
+            self.replica.confirm()
+            self.confirmed_at = max(began, self.confirmed_at)
+        except HingepitchError as error:
+            log_event("leader_unconfirmed", fence=self.fence, error=error.code)
+
     def follow_changes(self):
         """Wake the planner and the agents at every change of the state."""
         while True:
@@ -382,7 +390,10 @@
                 self.agent_by_minion[minion_id] = agent
                 agent.start()
             agent.minion = minion
-            agent.wake.set()
+        for minion_id in table.touched_minions:
+            if minion_id in self.agent_by_minion:
+                self.agent_by_minion[minion_id].wake.set()
+        table.touched_minions.clear()
 
     def outlook(self):
         """Return what the planner must know beyond the table."""
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -88,6 +88,9 @@
         Open jobs with due times that were not begun.
     `taken_by_minion`
         The room that runs take, by life of a minion.
+    `touched_minions`
+        Lives whose runs, or the jobs of their runs, have changed; the leader
+        empties it.
     `move_by_vm`
         The pool to which a VM is being moved.
     """
@@ -107,6 +110,7 @@
         self.ended_jobs = {}
         self.ready_steps = {}
         self.repeated_jobs = {}
+        self.touched_minions = set()
         self.pending_by_place = Counter()
 
     # Jobs.
@@ -162,6 +166,9 @@
         job.round_by_number = {}
         self.repeated_jobs.pop(job.id, None)
         self.ended_jobs[job.id] = at_ms
+        self.touched_minions.update(
+            run.minion for run in self.run_by_task.values() if run.task.job == job.id
+        )
 
     def note_begun(self, job):
         """Count `job` as begun, once."""
@@ -199,6 +206,7 @@
         """Add a run that may be going on."""
         step = run.task[:3]
         self.run_by_task[run.task] = run
+        self.touched_minions.add(run.minion)
         self.runs_by_minion.setdefault(run.minion, {})[run.task] = run
         self.taken_by_minion.setdefault(run.minion, Room()).add(run)
         self.carried_by_step.setdefault(step, Counter())[run.minion] += 1
@@ -207,6 +215,7 @@
         """Remove a run that is surely over."""
         step = run.task[:3]
         del self.run_by_task[run.task]
+        self.touched_minions.add(run.minion)
         del self.runs_by_minion[run.minion][run.task]
         self.taken_by_minion[run.minion].add(run, -1)
         carried = self.carried_by_step[step]
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -89,6 +89,7 @@
     wait_for(lambda: http_call(ready, "GET", "/-/ready")[0] == 503, what="not ready")
     call = http_call(f"{ip}:{site.port}", "GET", "/q/", headers={"Host": HOST})
     assert call[0] == 200
+    assert call[1]["connection"] == "close"
     assert process.popen.wait(10) == 0
 
 
