Permissions for steps and the pace of fillers, in their thin form

A queue with terms of advice starts nothing without a ticket; fillers beside a serving task stop at 0.8 of its target and come back in steps.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -22,6 +22,7 @@
 from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.contact import (
     LookOrder,
+    PaceOrder,
     ReplyKind,
     StopOrder,
 )
@@ -72,6 +73,8 @@
     `answered_at`
         When the last order for it was answered or given up; a look that was
         sent earlier says nothing about its absence.
+    `percent`
+        The pace that was last ordered.
     `row`
         The last row of a look, or None.
     """
@@ -80,6 +83,7 @@
     status: RunViewStatus
     answered_at: float = 0.0
     is_ordering: bool = False
+    percent: int = 100
     row: object = None
     row_since: float = 0.0
 
@@ -113,6 +117,7 @@
         self.heard_at = 0.0
         self.beat_at = 0.0
         self.aside_until = 0.0
+        self.filler_percent = 100
         self.is_gone = False
         self.greenlets = set()
 
@@ -261,6 +266,21 @@
         else:
             gevent.sleep(RETRY_SECONDS)
 
+    def order_pace(self, view, percent):
+        """Order the pace of a run; a lost order is given again by a later look."""
+        order = PaceOrder(view.run.task, view.run.number, percent, self.session.fence)
+        reply = self.client.pace(order, ANSWER_SECONDS)
+        self.note_reply(reply)
+        if reply.kind is ReplyKind.DONE:
+            view.percent = percent
+        log_event(
+            "pace_set",
+            job=view.run.task.job,
+            minion=self.minion.id,
+            percent=percent,
+            reply=reply.kind.value,
+        )
+
     def note_reply(self, reply):
         """Learn from any answer of the minion."""
         if reply.kind in (ReplyKind.UNSURE, ReplyKind.NOT_SENT):
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -20,6 +20,8 @@
 from hingepitch.jobs.contact import StartOrder
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveDesk
+from hingepitch.jobs.pace import Neighbour, next_percent
+from hingepitch.jobs.permission import PermissionDesk
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.pool import PoolTerms
 from hingepitch.jobs.service import wall_ms
@@ -44,6 +46,11 @@
 #: Time between two log lines on the load of a pool, in seconds.
 LOAD_SECONDS = 1.0
 
+#: How long a look waits at a minion where fillers run beside tasks that serve.
+#: Source: harm that lasts 4 s counts; a look, a decision and an order have to
+#: fit in well before.
+SHARED_LOOK_MS = 500
+
 #: Pause between two looks that do not wait, in seconds.
 LOOK_PAUSE_SECONDS = 0.1
 
@@ -96,13 +103,16 @@
         A `DispatchTerms`.
     `platform`
         Client of the platform's API of VMs, or None where there is none.
+    `adviser`
+        Client of the service that permits minions, or None.
     """
 
-    def __init__(self, replica, connect, terms, name, platform=None):
+    def __init__(self, replica, connect, terms, name, platform=None, adviser=None):
         self.replica = replica
         self.connect = connect
         self.terms = terms
         self.name = name
+        self.permissions = PermissionDesk(self, adviser)
         self.upkeep = UpkeepDesk(self, platform, terms.upkeep_seconds)
         self.mover = MoveDesk(self, platform, terms.pools)
         self.fence = replica.core.term
@@ -146,6 +156,8 @@
 
     def look_wait_ms(self, agent):
         """Return how long a look may wait for an end."""
+        if self.fillers(agent) and any(self.neighbours(agent)):
+            return min(SHARED_LOOK_MS, self.terms.look_wait_ms)
         return self.terms.look_wait_ms
 
     def leads(self):
@@ -203,6 +215,10 @@
         task = self.table.task(run.task)
         if minion is None or minion.is_draining or task is None:
             return None
+        step_key = run.task[:3]
+        ticket = self.permissions.ticket(step_key, run.minion)
+        if ticket is None and self.permissions.advice_of(step_key) is not None:
+            return None
         return StartOrder(
             task=run.task,
             number=run.number,
@@ -210,6 +226,7 @@
             lease_until_ms=lease_until_ms,
             fence=self.fence,
             checkpoint=task.checkpoint,
+            ticket=ticket or "",
         )
 
     # What the agents tell.
@@ -228,8 +245,34 @@
             detail=reply.detail,
         )
 
+    def step_of(self, run):
+        """Return the step of a run whose job is open, or None."""
+        job = self.table.job_by_id.get(run.task.job)
+        return job.spec.steps[run.task.step] if job and job.is_open else None
+
+    def fillers(self, agent):
+        """Return the views of the runs on a minion that only fill."""
+        views = agent.view_by_task.values()
+        steps = [(view, self.step_of(view.run)) for view in views]
+        return [view for view, step in steps if step and step.fills_spare_cpu]
+
+    def neighbours(self, agent):
+        """Yield what a look showed of the tasks that serve on a minion."""
+        for view in agent.view_by_task.values():
+            step = self.step_of(view.run)
+            if step and step.target_ms and view.row is not None:
+                yield Neighbour(view.row.load, step.target_ms)
+
     def note_rows(self, agent):
-        """Take notice of a look."""
+        """Pace the fillers of a minion by what a look showed."""
+        fillers = self.fillers(agent)
+        if not fillers:
+            return
+        percent = next_percent(agent.filler_percent, list(self.neighbours(agent)))
+        agent.filler_percent = percent
+        for view in fillers:
+            if view.percent != percent and view.status is RunViewStatus.RUNNING:
+                agent.order_pace(view, percent)
 
     def note_ends(self, agent, ends):
         """Take notice of ends that a minion listed."""
@@ -294,6 +337,8 @@
         if self.upkeep.platform is not None:
             self.spawn(self.upkeep.run)
             self.spawn(self.mover.run)
+        if self.permissions.adviser is not None:
+            self.spawn(self.permissions.run)
         try:
             while self.leads():
                 self.woken.wait(PASS_SECONDS)
@@ -404,7 +449,12 @@
             if agent.may_start(now)
         }
         usable -= self.upkeep.leaving_lives
-        return Outlook(wall_ms(), usable)
+        permitted = {
+            step_key: self.permissions.permitted(step_key)
+            for step_key in self.table.ready_steps
+            if self.permissions.advice_of(step_key) is not None
+        }
+        return Outlook(wall_ms(), usable, permitted_by_step=permitted)
 
     def open_due_rounds(self):
         """Begin the rounds whose time has come."""
@@ -433,17 +483,21 @@
 class Dispatcher:
     """Runs a session for each leadership of this process.
 
-    `replica`, `roster`, `connect`, `terms`, `name`, `platform`
+    `replica`, `roster`, `connect`, `terms`, `name`, `platform`,
+    `adviser`
         As for `Session`; `roster` hears the minions.
     """
 
-    def __init__(self, replica, roster, connect, terms, name, platform=None):
+    def __init__(
+        self, replica, roster, connect, terms, name, platform=None, adviser=None
+    ):
         self.replica = replica
         self.roster = roster
         self.connect = connect
         self.terms = terms
         self.name = name
         self.platform = platform
+        self.adviser = adviser
         self.session = None
         roster.on_beat = self.note_beat
 
@@ -465,7 +519,12 @@
     def lead(self):
         """Lead until the leadership has passed."""
         self.session = Session(
-            self.replica, self.connect, self.terms, self.name, self.platform
+            self.replica,
+            self.connect,
+            self.terms,
+            self.name,
+            self.platform,
+            self.adviser,
         )
         log_event(
             "session_started",
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -139,7 +139,7 @@
         for run in runs:
             if (run.task, run.number) in self.session.evacuated:
                 continue
-            step = self.step_of(run)
+            step = self.session.step_of(run)
             if step is None:
                 continue
             if step.lasts:
@@ -149,11 +149,6 @@
             if may_stop:
                 self.session.evacuate(run)
 
-    def step_of(self, run):
-        """Return the step of a run whose job is open, or None."""
-        job = self.session.table.job_by_id.get(run.task.job)
-        return job.spec.steps[run.task.step] if job and job.is_open else None
-
     def may_be_away(self, run, step):
         """Whether a lasting task may be stopped within its budget."""
         if step.max_away is None:
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -51,6 +51,8 @@
     "minion_removed": "INFO",
     "minion_lapsed": "WARNING",
     "run_ordered": "INFO",
+    "advice_taken": "INFO",
+    "pace_set": "INFO",
     "move_step": "INFO",
     "pool_load": "INFO",
     "run_evacuated": "INFO",
--- /dev/null
+++ b/tests/test_pace.py
@@ -0,0 +1,88 @@
+"""Fillers beside tasks that serve, and permissions for steps."""
+
+import gevent
+import pytest
+
+from hingepitch.httpd import wait_until
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.pace import Neighbour, next_percent
+from hingepitch.jobs.permission import MARGIN_SECONDS, PermissionDesk
+from hingepitch.jobs.queue import AdviceTerms, Queue
+from hingepitch.jobs.record import JobStatus
+from hingepitch.jobs.spec import Step
+from standin.taskminion import TaskMinion
+from tests.test_dispatch import SECONDS, Rig
+from tests.test_job_rules import HOST, JOB, make_config
+
+
+@pytest.mark.parametrize(
+    "percent, tails, expected",
+    [
+        (100, [], 100),
+        (100, [79], 100),
+        (100, [80], 0),
+        (100, [10, 300], 0),
+        (0, [60], 0),
+        (0, [49], 25),
+        (75, [10, 20], 100),
+    ],
+)
+def test_fillers_stop_in_time_and_come_back_slowly(percent, tails, expected):
+    neighbours = [Neighbour(tail, 100) for tail in tails]
+    assert next_percent(percent, neighbours) == expected
+
+
+class Adviser:
+    """Permits some lives, and counts the calls."""
+
+    def __init__(self, *good):
+        self.good = good
+        self.calls = []
+        self.is_silent = False
+
+    def advise(self, step_key, lives, seconds):
+        self.calls.append((step_key, lives))
+        if self.is_silent:
+            return None
+        return {life: f"ticket-{life}" for life in lives if life in self.good}
+
+
+@pytest.fixture
+def advised_rig():
+    minions = [TaskMinion(task_seconds=0.05), TaskMinion(task_seconds=0.05)]
+    rig = Rig(*minions)
+    advice = AdviceTerms(0, 0, int(MARGIN_SECONDS * 1000) + 1000)
+    queue = Queue("q", HOST, "/q/", "pool", timeout_ms=1, attempts=1, advice=advice)
+    rig.log.send(commands.PutQueues(make_config(2, queues=(queue,))))
+    assert wait_until(lambda: rig.dispatcher.session is not None, SECONDS)
+    yield rig
+    rig.close()
+
+
+def advise(rig, adviser):
+    session = rig.dispatcher.session
+    session.permissions = PermissionDesk(session, adviser)
+    session.spawn(session.permissions.run)
+
+
+def test_only_permitted_minions_run_a_step_and_they_see_the_ticket(advised_rig):
+    good, other = advised_rig.minions
+    advise(advised_rig, Adviser(good.life))
+    advised_rig.submit(Step(3))
+    advised_rig.wait_status(JobStatus.SUCCEEDED)
+    assert not other.starts
+    assert {body["ticket"] for _, _, body in good.starts} == {f"ticket-{good.life}"}
+
+
+def test_without_permission_nothing_starts(advised_rig):
+    adviser = Adviser()
+    adviser.is_silent = True
+    advise(advised_rig, adviser)
+    advised_rig.submit(Step(1))
+    assert wait_until(lambda: len(adviser.calls) > 1, SECONDS)
+    gevent.sleep(0.2)
+    assert not any(minion.starts for minion in advised_rig.minions)
+    adviser.is_silent = False
+    adviser.good = [minion.life for minion in advised_rig.minions]
+    advised_rig.wait_status(JobStatus.SUCCEEDED)
+    assert adviser.calls[0][0] == (JOB, 0, 0)
