Pools count memory, spread and starving tasks, not only processors

Change: memory counts as processors do, a step that needs several minions asks for them, and a pool whose tasks wait for 0.4 s asks for one more; tasks over the largest minion ask for nothing.

--- a/hingepitch/jobs/load.py
+++ b/hingepitch/jobs/load.py
@@ -8,53 +8,96 @@
 :license: BSD, see LICENSE for details.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hingepitch.jobs.record import TaskStatus
+from hingepitch.jobs.table import Room
 
 __all__ = ["PoolLoad", "measure_pools"]
 
 
 @dataclass(slots=True)
 class PoolLoad:
-    """The load of one pool, in millicores.
+    """The load of one pool; processors in millicores, memory in MB.
 
-    `room`
+    `room`, `room_mb`
         Of all minions that are not draining.
-    `running`
-        Asked for by the runs that go on; `lasting` is its part that serves.
-    `waiting`
-        Asked for by tasks whose turn has come.
+    `running`, `running_mb`
+        Asked for by the runs that go on; `lasting` is the part of the
+        processors that serves.
+    `waiting`, `waiting_mb`, `waiting_tasks`
+        Asked for by tasks whose turn has come, and how many they are.
+    `spread`
+        Minions that a waiting step needs because each may carry only so many
+        of its tasks.
+    `largest`
+        The most of each size that a minion has. Tasks over it are not counted
+        as waiting: no further minion would help them.
     """
 
     minions: int = 0
     room: int = 0
+    room_mb: int = 0
     running: int = 0
+    running_mb: int = 0
     lasting: int = 0
     waiting: int = 0
+    waiting_mb: int = 0
     waiting_tasks: int = 0
+    spread: int = 0
+    largest: Room = field(default_factory=Room)
+
+    def can_hold(self, step):
+        """Whether a minion of the pool could run a task of `step` when empty."""
+        return (
+            step.counted_millicores <= self.largest.cpu_millicores
+            and step.memory_mb <= self.largest.memory_mb
+            and step.accelerators <= self.largest.accelerators
+        )
 
 
 def measure_pools(table):
     """Return the `PoolLoad` of each pool, by name."""
     load_by_pool = {}
     for minion in table.minion_by_id.values():
-        load = load_by_pool.setdefault(minion.pool, PoolLoad())
-        if not minion.is_draining:
-            load.minions += 1
-            load.room += minion.cpu_millicores
-        load.running += table.taken_by_minion[minion.id].cpu_millicores
-    for job_id, round_number, step_number in table.ready_steps:
-        job = table.job_by_id[job_id]
-        step = job.spec.steps[step_number]
-        tasks = job.round_by_number[round_number].tasks_by_step[step_number]
-        count = sum(task.status is TaskStatus.WAITING for task in tasks)
-        load = load_by_pool.setdefault(table.policy(job).pool, PoolLoad())
-        load.waiting += count * step.counted_millicores
-        load.waiting_tasks += count
+        add_minion(load_by_pool.setdefault(minion.pool, PoolLoad()), table, minion)
+    for step_key in table.ready_steps:
+        pool = table.policy(table.job_by_id[step_key[0]]).pool
+        add_waiting(load_by_pool.setdefault(pool, PoolLoad()), table, step_key)
     for run in table.run_by_task.values():
         job = table.job_by_id.get(run.task.job)
         minion = table.minion_by_id.get(run.minion)
         if job and minion and job.spec.steps[run.task.step].lasts:
             load_by_pool[minion.pool].lasting += run.counted_millicores
     return load_by_pool
+
+
+def add_minion(load, table, minion):
+    """Count a minion and its runs."""
+    taken = table.taken_by_minion[minion.id]
+    load.running += taken.cpu_millicores
+    load.running_mb += taken.memory_mb
+    largest = load.largest
+    largest.cpu_millicores = max(largest.cpu_millicores, minion.cpu_millicores)
+    largest.memory_mb = max(largest.memory_mb, minion.memory_mb)
+    largest.accelerators = max(largest.accelerators, minion.accelerators)
+    if not minion.is_draining:
+        load.minions += 1
+        load.room += minion.cpu_millicores
+        load.room_mb += minion.memory_mb
+
+
+def add_waiting(load, table, step_key):
+    """Count the waiting tasks of a step whose turn has come."""
+    job_id, round_number, step_number = step_key
+    job = table.job_by_id[job_id]
+    step = job.spec.steps[step_number]
+    if not load.can_hold(step):
+        return
+    tasks = job.round_by_number[round_number].tasks_by_step[step_number]
+    count = sum(task.status is TaskStatus.WAITING for task in tasks)
+    load.waiting += count * step.counted_millicores
+    load.waiting_mb += count * step.memory_mb
+    load.waiting_tasks += count
+    if step.max_per_minion:
+        load.spread = max(load.spread, -(-step.count // step.max_per_minion))
--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -39,6 +39,9 @@
 #: The platform's list is read at most this often, in seconds.
 LIST_SECONDS = 5.0
 
+#: A pool in which tasks wait for so long wants one more minion, in seconds.
+STARVING_SECONDS = 0.4
+
 #: A pool keeps wanting what it wanted within this time, in seconds.
 PEAK_SECONDS = 2.0
 
@@ -80,6 +83,7 @@
         self.held_until_by_vm = {}
         self.idle_since_by_vm = {}
         self.peak_by_pool = {}
+        self.waiting_since_by_pool = {}
         self.spare_vms = {}
         self.kind_by_vm = {}
         self.listed_at = 0.0
@@ -141,8 +145,9 @@
                 view.idle = list(self.spare_idle(pool.name))
                 view.present = len(view.idle)
             elif pool.name in used and load.minions:
-                room_of_one = load.room // load.minions
-                wanted = wanted_minions(load, self.terms, room_of_one)
+                wanted = wanted_minions(load, self.terms)
+                if self.is_starving(pool.name, load, now):
+                    wanted = max(wanted, load.minions + 1)
                 peak = self.peak_by_pool.setdefault(pool.name, Peak())
                 view.wanted = peak.note(wanted, now)
             if not pool.is_spare:
@@ -156,6 +161,17 @@
             )
             yield view
 
+    def is_starving(self, pool, load, now):
+        """Whether tasks of a pool have waited for long, whatever they lack.
+
+        Room that is free in sum may be in pieces too small for any of them.
+        """
+        if not load.waiting_tasks:
+            self.waiting_since_by_pool.pop(pool, None)
+            return False
+        since = self.waiting_since_by_pool.setdefault(pool, now)
+        return now - since > STARVING_SECONDS
+
     def incoming(self, pool):
         """Return how many VMs are on their way to a pool."""
         return sum(to == pool for to in self.session.table.move_by_vm.values())
--- a/hingepitch/jobs/pool.py
+++ b/hingepitch/jobs/pool.py
@@ -9,6 +9,7 @@
 """
 
 from dataclasses import dataclass, field
+from math import ceil
 
 __all__ = ["IdleVm", "Move", "PoolTerms", "PoolView", "plan_moves", "wanted_minions"]
 
@@ -83,10 +84,16 @@
     pool: str
 
 
-def wanted_minions(load, terms, room_of_one):
+def wanted_minions(load, terms):
     """Return how many minions a pool of `load` wants."""
-    demand = (load.running + load.waiting) / terms.use_part
-    return max(terms.floor, -(-int(demand) // max(1, room_of_one)))
+    parts = (
+        (load.running + load.waiting, load.room),
+        (load.running_mb + load.waiting_mb, load.room_mb),
+    )
+    needed = [
+        used / terms.use_part * load.minions / room for used, room in parts if room
+    ]
+    return max(terms.floor, load.spread, *(ceil(one) for one in needed))
 
 
 def plan_moves(pools, terms, impossible=frozenset()):
--- a/tests/test_job_plan.py
+++ b/tests/test_job_plan.py
@@ -16,6 +16,7 @@
 from hingepitch.jobs.queue import AdviceTerms, Queue
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.spec import Step, chain_from_ms, longest_chain_ms
+from hingepitch.jobs.table import Room
 from hingepitch.jobs.upkeep import patience_seconds
 from tests.test_job_rules import HOST, JOB, Log, make_config, make_minion, task
 
@@ -149,14 +150,32 @@
 
 def test_loads_tell_what_runs_lasts_and_waits():
     log = make_log(make_minion(1), make_minion(2, is_draining=True))
-    log.submit(Step(3, cpu_millicores=1000), Step(1, after=(0,)))
+    log.submit(Step(3, cpu_millicores=1000, memory_mb=100), Step(1, after=(0,)))
     log.submit(Step(1, cpu_millicores=500, lasts=True), job=OTHER)
     log.start(task(), task(job=OTHER))
-    assert measure_pools(log.table) == {"pool": PoolLoad(1, 4000, 1500, 500, 2000, 2)}
+    assert measure_pools(log.table)["pool"] == PoolLoad(
+        minions=1,
+        room=4000,
+        room_mb=4000,
+        running=1500,
+        running_mb=100,
+        lasting=500,
+        waiting=2000,
+        waiting_mb=200,
+        waiting_tasks=2,
+        largest=Room(4000, 4000, 0),
+    )
     log.end(task(), RunResult.DONE)
     assert measure_pools(log.table)["pool"].running == 500
 
 
+def test_tasks_that_fit_no_minion_ask_for_no_more_of_them():
+    log = make_log(make_minion(1))
+    log.submit(Step(3, cpu_millicores=4001))
+    load = measure_pools(log.table)["pool"]
+    assert (load.waiting, load.waiting_tasks) == (0, 0)
+
+
 TERMS = PoolTerms(use_part=1.0, floor=1, idle_seconds=3, lend_seconds=1)
 
 
@@ -164,10 +183,18 @@
     return [IdleVm(f"{name}-{at}", kind, one) for at, one in enumerate(seconds)]
 
 
-def test_a_pool_wants_room_for_what_runs_and_waits():
-    load = PoolLoad(running=5000, waiting=4000)
-    assert wanted_minions(load, TERMS, 4000) == 3
-    assert wanted_minions(PoolLoad(), TERMS, 4000) == 1
+@pytest.mark.parametrize(
+    "changes, wanted",
+    [
+        ({}, 1),
+        ({"running": 5000, "waiting": 4000}, 3),
+        ({"running_mb": 300, "waiting_mb": 150}, 5),
+        ({"spread": 4}, 4),
+    ],
+)
+def test_a_pool_wants_room_for_what_runs_and_waits(changes, wanted):
+    load = PoolLoad(minions=2, room=8000, room_mb=200, **changes)
+    assert wanted_minions(load, TERMS) == wanted
 
 
 def test_a_busy_pool_takes_spares_first_then_what_others_can_lend():
--- /dev/null
+++ b/tests/test_mover.py
@@ -0,0 +1,142 @@
+"""Moves of VMs by a session: what waits gets room, what runs stays."""
+
+import gevent
+import pytest
+
+from hingepitch.httpd import wait_until
+from hingepitch.jobs import command as commands, mover as mover_module
+from hingepitch.jobs.fleet import FleetReply, VmRow, VmState
+from hingepitch.jobs.mover import MoveDesk
+from hingepitch.jobs.pool import PoolTerms
+from hingepitch.jobs.queue import Queue, QueuePool
+from hingepitch.jobs.spec import Step
+from standin.taskminion import TaskMinion
+from tests.test_dispatch import SECONDS, Rig
+from tests.test_job_rules import HOST, make_config, make_minion, task
+
+TERMS = PoolTerms(floor=1, idle_seconds=0.3, lend_seconds=0.1)
+
+
+class FleetApi:
+    """The platform's API of VMs: moves are carried out, or go wrong."""
+
+    def __init__(self, pool_by_vm):
+        self.pool_by_vm = pool_by_vm
+        self.replies = []
+        self.moves = []
+
+    def list_vms(self, seconds):
+        return [
+            VmRow(vm, pool, VmState.UP, "h", "", "a")
+            for vm, pool in self.pool_by_vm.items()
+        ]
+
+    def move(self, vm, pool, holder, fence, seconds):
+        reply = self.replies.pop(0) if self.replies else FleetReply.DONE
+        self.moves.append((vm, pool, reply))
+        if reply is FleetReply.DONE:
+            self.pool_by_vm[vm] = pool
+        return reply
+
+
+@pytest.fixture
+def rig():
+    made = Rig(TaskMinion(), TaskMinion())
+    queue = Queue("q", HOST, "/q/", "pool", timeout_ms=1)
+    pools = (QueuePool("pool"), QueuePool("off", is_spare=True))
+    made.log.send(commands.PutQueues(make_config(2, queues=(queue,), pools=pools)))
+    assert wait_until(lambda: made.dispatcher.session is not None, SECONDS)
+    yield made
+    made.close()
+
+
+def move_by(rig, api):
+    session = rig.dispatcher.session
+    session.mover = MoveDesk(session, api, TERMS)
+    session.spawn(session.mover.run)
+    return session.mover
+
+
+def test_an_idle_vm_goes_to_the_spares_and_its_life_is_over(rig):
+    api = FleetApi({"vm-0": "pool", "vm-1": "pool"})
+    move_by(rig, api)
+    assert wait_until(lambda: len(rig.log.table.minion_by_id) == 1, SECONDS)
+    assert [pool for _, pool, _ in api.moves] == ["off"]
+    assert not rig.log.table.move_by_vm
+    gevent.sleep(0.6)
+    assert len(rig.log.table.minion_by_id) == 1
+
+
+def test_a_vm_with_runs_is_never_moved(rig):
+    rig.submit(Step(2, lasts=True, max_per_minion=1))
+    assert wait_until(lambda: len(rig.log.table.run_by_task) == 2, SECONDS)
+    api = FleetApi({})
+    move_by(rig, api)
+    gevent.sleep(1.0)
+    assert not api.moves
+    assert rig.log.send(commands.BeginMove("vm-0", "off")) == "not_drained"
+
+
+def test_a_vm_that_is_moving_gets_no_run(rig):
+    rig.log.send(commands.BeginMove("vm-0", "off"))
+    rig.log.submit(Step(1))
+    assert rig.log.start(task(), minion=rig.minions[0].life) == [False]
+    rig.log.send(commands.EndMove("vm-0"))
+    assert rig.log.start(task(), minion=rig.minions[0].life) == [True]
+
+
+def test_tasks_that_no_minion_can_hold_bring_a_spare_vm(rig):
+    api = FleetApi({"vm-9": "off"})
+    move_by(rig, api)
+    rig.submit(Step(3, cpu_millicores=9000, lasts=True))
+    assert wait_until(lambda: ("vm-9", "pool", FleetReply.DONE) in api.moves, SECONDS)
+
+
+def test_room_in_pieces_brings_a_spare_vm(rig):
+    api = FleetApi({"vm-9": "off"})
+    rig.submit(Step(2, memory_mb=3000, lasts=True))
+    assert wait_until(lambda: len(rig.log.table.run_by_task) == 2, SECONDS)
+    rig.log.submit(Step(1, memory_mb=1500), job="00000000000000bb")
+    move_by(rig, api)
+    assert wait_until(lambda: api.moves, SECONDS)
+    assert api.moves[0][:2] == ("vm-9", "pool")
+
+
+def test_an_unanswered_move_is_ordered_again_and_nothing_else_for_the_vm(
+    rig, monkeypatch
+):
+    monkeypatch.setattr(mover_module, "UNSURE_SECONDS", 1.0)
+    api = FleetApi({"vm-0": "pool", "vm-1": "pool"})
+    api.replies = [FleetReply.UNSURE, FleetReply.TOO_MANY]
+    desk = move_by(rig, api)
+    assert wait_until(lambda: len(api.moves) == 3, SECONDS)
+    assert len({(vm, pool) for vm, pool, _ in api.moves}) == 1
+    vm = api.moves[0][0]
+    assert not desk.is_free(vm, desk.held_until_by_vm[vm] - 0.1)
+
+
+def test_another_leader_carries_on_a_move_that_was_begun(rig):
+    rig.log.send(commands.BeginMove("vm-0", "off"))
+    api = FleetApi({"vm-0": "pool"})
+    move_by(rig, api)
+    assert wait_until(lambda: api.moves, SECONDS)
+    assert api.moves[0][:2] == ("vm-0", "off")
+    assert wait_until(lambda: not rig.log.table.move_by_vm, SECONDS)
+    assert "vm-0" not in rig.log.table.life_by_vm
+
+
+def test_a_refused_pair_of_kind_and_pool_is_not_tried_again(rig):
+    api = FleetApi({"vm-8": "off", "vm-9": "off"})
+    api.replies = [FleetReply.UNKNOWN_VM] * 5
+    move_by(rig, api)
+    rig.submit(Step(3, cpu_millicores=9000, lasts=True))
+    assert wait_until(lambda: api.moves, SECONDS)
+    gevent.sleep(0.8)
+    assert len([vm for vm, pool, _ in api.moves if pool == "pool"]) <= 2
+
+
+def test_the_new_life_ends_the_move(rig):
+    rig.log.send(commands.BeginMove("vm-0", "pool"))
+    fresh = make_minion(0, id="i-fresh")
+    rig.log.send(commands.RegisterMinion(fresh, 0))
+    assert not rig.log.table.move_by_vm
