--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -93,6 +93,20 @@
     assert process.popen.wait(10) == 0
 
 
+def test_changed_seeds_are_taken_over_and_faulty_settings_are_not(site):
+    ip = site.entry_ips[0]
+    process = site.process_by_ip[ip]
+    path = site.folder / f"{ip}.yaml"
+    path.write_text(path.read_text().replace(site.control_ips[0], site.control_ips[4]))
+    process.signal(signal.SIGHUP)
+    reloaded = f"event=settings_reloaded seeds={site.control_ips[4]}"
+    wait_for(lambda: reloaded in process.log().replace('"', ""), what="the reload")
+    path.write_text("node: 5\n")
+    process.signal(signal.SIGHUP)
+    wait_for(lambda: "event=settings_refused" in process.log(), what="the refusal")
+    assert site.call("GET", "/q/")[0] == 200
+
+
 def test_an_entry_without_controls_refuses_at_once_and_truly(site):
     for ip in site.control_ips:
         site.process_by_ip[ip].kill()
