Minions are judged by evidence; hung tasks and draining minions are left

Cause: a minion that fails or hangs at once looks empty and attracts tasks; a failed job earns nothing; lasting tasks on a draining minion died with it.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -26,6 +26,7 @@
     ReplyKind,
     StopOrder,
 )
+from hingepitch.jobs.health import MinionHealth
 from hingepitch.jobs.record import RunResult
 from hingepitch.log import log_event
 
@@ -118,6 +119,7 @@
         self.beat_at = 0.0
         self.aside_until = 0.0
         self.filler_percent = 100
+        self.health = MinionHealth()
         self.is_gone = False
         self.greenlets = set()
 
@@ -157,6 +159,7 @@
         return (
             not self.is_gone
             and now >= self.aside_until
+            and not self.health.is_sick(now)
             and now - self.heard_at < self.session.silence_seconds
             and self.clock_offset_ms is not None
             and all(
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -18,12 +18,14 @@
 from hingepitch.jobs.agent import Agent, RunViewStatus
 from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
 from hingepitch.jobs.contact import StartOrder
+from hingepitch.jobs.health import is_hung
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveDesk
 from hingepitch.jobs.pace import Neighbour, next_percent
 from hingepitch.jobs.permission import PermissionDesk
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.pool import PoolTerms
+from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.upkeep import UpkeepDesk
 from hingepitch.log import log_event
@@ -187,7 +189,7 @@
             return False
         return (run.task, run.number) not in self.evacuated
 
-    def evacuate(self, run):
+    def evacuate(self, run, reason):
         """Stop a run so that it goes on elsewhere."""
         self.evacuated.add((run.task, run.number))
         log_event(
@@ -196,6 +198,7 @@
             task=format_task(run.task),
             run=run.number,
             minion=run.minion,
+            reason=reason,
         )
         self.agent_by_minion[run.minion].wake.set()
 
@@ -264,7 +267,24 @@
                 yield Neighbour(view.row.load, step.target_ms)
 
     def note_rows(self, agent):
-        """Pace the fillers of a minion by what a look showed."""
+        """Act on what a look showed: tasks that stand still, and fillers."""
+        self.stop_hung(agent)
+        self.pace_fillers(agent)
+
+    def stop_hung(self, agent):
+        """Stop the tasks that stand still, so that they go on elsewhere."""
+        for view in agent.view_by_task.values():
+            step = self.step_of(view.run)
+            if view.row is None or step is None or step.lasts:
+                continue
+            if step.fills_spare_cpu or not is_hung(view.row_since, agent.looked_at):
+                continue
+            if self.is_wanted(view.run):
+                agent.health.note_trouble(view.run.task.job, lease_seconds())
+                self.evacuate(view.run, "stands still")
+
+    def pace_fillers(self, agent):
+        """Pace the fillers of a minion by its tasks that serve."""
         fillers = self.fillers(agent)
         if not fillers:
             return
@@ -275,7 +295,13 @@
                 agent.order_pace(view, percent)
 
     def note_ends(self, agent, ends):
-        """Take notice of ends that a minion listed."""
+        """Learn from ends that a minion listed how it does."""
+        now = lease_seconds()
+        for end in ends:
+            if end.result is RunResult.DONE:
+                agent.health.note_success(now)
+            elif end.result is RunResult.FAILED:
+                agent.health.note_trouble(end.task.job, now)
 
     def note_stranger(self, agent, row):
         """Log a run that the log does not hold; its lease ends it."""
@@ -414,6 +440,7 @@
         if not self.may_order():
             return
         self.open_due_rounds()
+        self.leave_draining()
         if not self.table.ready_steps:
             return
         starts, gangs = plan_starts(self.table, self.outlook())
@@ -421,6 +448,16 @@
             self.propose(StartRuns(starts, gangs, wall_ms()))
             self.match_agents()
 
+    def leave_draining(self):
+        """Stop the lasting tasks on minions that drain: they would end anyway."""
+        for minion in self.table.minion_by_id.values():
+            if not minion.is_draining or minion.id not in self.agent_by_minion:
+                continue
+            for run in self.runs_of(minion.id).values():
+                step = self.step_of(run)
+                if step and step.lasts and self.is_wanted(run):
+                    self.evacuate(run, "the minion drains")
+
     def match_agents(self):
         """Have one agent for each life of a minion, and wake those with news."""
         table = self.table
@@ -454,7 +491,8 @@
             for step_key in self.table.ready_steps
             if self.permissions.advice_of(step_key) is not None
         }
-        return Outlook(wall_ms(), usable, permitted_by_step=permitted)
+        doubt = {life: self.agent_by_minion[life].health.doubt(now) for life in usable}
+        return Outlook(wall_ms(), usable, doubt, permitted)
 
     def open_due_rounds(self):
         """Begin the rounds whose time has come."""
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -147,7 +147,7 @@
             else:
                 may_stop = is_late
             if may_stop:
-                self.session.evacuate(run)
+                self.session.evacuate(run, "upkeep")
 
     def may_be_away(self, run, step):
         """Whether a lasting task may be stopped within its budget."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,9 +7,10 @@
 from gevent.event import Event
 
 from adapter.minion import HttpMinion
+from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
-from hingepitch.jobs import command as commands
+from hingepitch.jobs import command as commands, health as health_module
 from hingepitch.jobs.dispatch import Dispatcher, DispatchTerms
 from hingepitch.jobs.record import JobStatus
 from hingepitch.jobs.roster import MinionRoster
@@ -148,7 +149,7 @@
     busy.faults.stops += ["dropped"] * 2
     run = here.log.table.run_by_task[task()]
     assert wait_until(lambda: here.dispatcher.session.is_at_work(task()), SECONDS)
-    here.dispatcher.session.evacuate(run)
+    here.dispatcher.session.evacuate(run, "test")
     here.dispatcher.session.agent_by_minion[busy.life].set_aside(60)
     assert wait_until(lambda: any(kind == "stop" for kind, _ in busy.calls), SECONDS)
     assert not free.starts
@@ -262,3 +263,43 @@
         minion.finish(minion.life, name, run, "failed")
     here.wait_status(JobStatus.FAILED)
     assert len(minion.starts) == 2
+
+
+def test_a_minion_on_which_several_jobs_fail_is_set_aside(rig):
+    sick, sound = TaskMinion(), TaskMinion()
+    here = rig(sick, sound)
+    assert wait_until(lambda: here.dispatcher.session is not None, SECONDS)
+    assert wait_until(lambda: here.dispatcher.session.agent_by_minion, SECONDS)
+    health = here.dispatcher.session.agent_by_minion[sick.life].health
+    for number in range(3):
+        health.note_trouble(f"job-{number}", lease_seconds())
+    here.submit(Step(3))
+    assert wait_until(lambda: len(sound.running) == 3, SECONDS)
+    assert not sick.starts
+
+
+def test_a_task_that_stands_still_goes_on_elsewhere(rig, monkeypatch):
+    monkeypatch.setattr(health_module, "HUNG_SECONDS", 1.2)
+    first, second = TaskMinion(), TaskMinion()
+    here = rig(first, second)
+    here.submit(Step(1))
+    assert wait_until(lambda: first.starts or second.starts, SECONDS)
+    busy, free = (first, second) if first.starts else (second, first)
+    here.dispatcher.session.agent_by_minion[busy.life].set_aside(60)
+    assert wait_until(lambda: free.starts, SECONDS)
+    assert not busy.running
+
+
+def test_lasting_tasks_leave_a_minion_that_drains(rig):
+    first, second = TaskMinion(), TaskMinion()
+    here = rig(first, second)
+    here.submit(Step(1, lasts=True), Step(1))
+    assert wait_until(lambda: len(first.running) + len(second.running) == 2, SECONDS)
+    busy, free = (first, second) if first.starts else (second, first)
+    number = here.minions.index(busy)
+    record = make_minion(number, id=busy.life, address=busy.address, is_draining=True)
+    here.log.send(commands.RegisterMinion(record, 0))
+    here.replica.wake()
+    assert wait_until(lambda: free.starts, SECONDS)
+    assert [name for name, _, _ in free.starts] == [f"{JOB}.0.0.0"]
+    assert list(busy.running) == [f"{JOB}.0.1.0"]
