The session is split by subject; tests of the upkeep waves

Upkeep waves get tests with a stand-in of the platform's API (empty when taken, never more at once, one lasting task away, orders without a final answer, another leader).

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -349,7 +349,7 @@
             return 0
         if RunViewStatus.STOPPED in statuses:
             return STOPPING_LOOK_MS
-        return self.session.look_wait_ms(self)
+        return self.session.watch.look_wait_ms(self)
 
     def look_once(self):
         """Look, and take what the minion says."""
@@ -388,7 +388,7 @@
             if view.status in (RunViewStatus.INHERITED, RunViewStatus.UNSURE):
                 view.status = RunViewStatus.RUNNING
                 view.answered_at = now
-        self.session.note_rows(self)
+        self.session.watch.note_rows(self)
 
     def take_ends(self, ended):
         """Record the ends of a look, then remember that they are recorded."""
@@ -399,7 +399,7 @@
             for one in ended
         )
         known = tuple(end for end in ends if self.is_recorded(end))
-        self.session.note_ends(self, known)
+        self.session.watch.note_ends(self, known)
         if not known or self.session.end_runs(known):
             self.ends_taken = max(self.ends_taken, *(one.sequence for one in ended))
 
--- /dev/null
+++ b/hingepitch/jobs/session.py
@@ -0,0 +1,418 @@
+"""
+hingepitch.jobs.session
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The leader at work: plans, records, and lets the agents act.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import Event
+
+from hingepitch.clock import lease_seconds
+from hingepitch.error import HingepitchError
+from hingepitch.jobs.agent import Agent, RunViewStatus
+from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
+from hingepitch.jobs.contact import StartOrder
+from hingepitch.jobs.load import measure_pools
+from hingepitch.jobs.mover import MoveDesk
+from hingepitch.jobs.permission import PermissionDesk
+from hingepitch.jobs.plan import Outlook, plan_starts
+from hingepitch.jobs.pool import PoolTerms
+from hingepitch.jobs.service import wall_ms
+from hingepitch.jobs.spec import format_task
+from hingepitch.jobs.upkeep import UpkeepDesk
+from hingepitch.jobs.watch import RunWatch
+from hingepitch.log import log_event
+from hingepitch.model.command import Envelope, Role
+
+__all__ = ["DispatchTerms", "Session"]
+
+#: How often the leader confirms itself, and how old the last confirmation
+#: may be when an order goes out, in seconds. Source: no other replica can be
+#: elected within 0.6 s (six ticks) of a round that a quorum has answered.
+CONFIRM_SECONDS = 0.15
+MAX_CONFIRMED_AGE_SECONDS = 0.5
+
+#: Longest time between two planning passes while work waits, in seconds.
+PASS_SECONDS = 0.1
+
+#: Changes within this time are planned together, in seconds.
+GATHER_SECONDS = 0.002
+
+#: Time between two log lines on the load of a pool, in seconds.
+LOAD_SECONDS = 1.0
+
+#: Pause between two looks that do not wait, in seconds.
+LOOK_PAUSE_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchTerms:
+    """What the minions' protocol allows, and what is chosen within it.
+
+    `lease_seconds`
+        Lease that each look and start gives.
+    `drift`
+        Part by which a minion's steady clock may be slower than ours.
+    `lapse_seconds`
+        How late a minion may notice that its lease is over.
+    `beat_seconds`
+        Time between two beats of a minion.
+    `look_wait_ms`
+        How long a look waits at the minion for an end.
+    `early_ms`
+        A due time may begin this much early.
+    `upkeep_seconds`
+        How long a VM is down for its upkeep.
+    `pools`
+        When VMs change pool.
+    """
+
+    lease_seconds: float = 6.0
+    drift: float = 0.021
+    lapse_seconds: float = 0.4
+    beat_seconds: float = 1.5
+    look_wait_ms: int = 2000
+    early_ms: int = 0
+    upkeep_seconds: float = 2.0
+    pools: PoolTerms = PoolTerms()
+
+    @property
+    def lease_until_over_seconds(self):
+        """Time on our clock until a lease given now is surely over."""
+        return self.lease_seconds * (1 + self.drift) + self.lapse_seconds
+
+
+class Session:
+    """One leadership: what it may order, and what it has seen.
+
+    `replica`
+        The replica, which leads in the term `fence`.
+    `connect`
+        Function from a `Minion` to a client for it.
+    `terms`
+        A `DispatchTerms`.
+    `platform`
+        Client of the platform's API of VMs, or None where there is none.
+    `adviser`
+        Client of the service that permits minions, or None.
+    """
+
+    def __init__(self, replica, connect, terms, name, platform=None, adviser=None):
+        self.replica = replica
+        self.connect = connect
+        self.terms = terms
+        self.name = name
+        self.permissions = PermissionDesk(self, adviser)
+        self.watch = RunWatch(self)
+        self.upkeep = UpkeepDesk(self, platform, terms.upkeep_seconds)
+        self.mover = MoveDesk(self, platform, terms.pools)
+        self.fence = replica.core.term
+        self.started_at = lease_seconds()
+        self.confirmed_at = 0.0
+        self.is_over = False
+        self.agent_by_minion = {}
+        self.greenlets = set()
+        self.woken = Event()
+        self.inherited = {
+            (run.task, run.number) for run in self.table.run_by_task.values()
+        }
+
+    # What the agents ask.
+
+    @property
+    def table(self):
+        """The replicated job table."""
+        return self.replica.state.jobs
+
+    @property
+    def lease_seconds(self):
+        """Lease that an order gives."""
+        return self.terms.lease_seconds
+
+    @property
+    def lease_until_over_seconds(self):
+        """Time until a lease given now is surely over."""
+        return self.terms.lease_until_over_seconds
+
+    @property
+    def silence_seconds(self):
+        """A minion that was silent for longer gets no new runs."""
+        return 3 * self.terms.beat_seconds
+
+    @property
+    def look_pause_seconds(self):
+        """Pause between two looks that do not wait."""
+        return LOOK_PAUSE_SECONDS
+
+    def leads(self):
+        """Whether this session's leadership still stands, as far as known."""
+        core = self.replica.core
+        return not self.is_over and self.replica.is_leader and core.term == self.fence
+
+    def may_order(self):
+        """Whether no other leader can have been elected yet."""
+        age = lease_seconds() - self.confirmed_at
+        return self.leads() and age < MAX_CONFIRMED_AGE_SECONDS
+
+    def runs_of(self, minion_id):
+        """Return the runs recorded on a life of a minion, by task."""
+        return self.table.runs_by_minion.get(minion_id, {})
+
+    def first_status(self, run):
+        """Return what is known of a run that an agent meets first."""
+        if (run.task, run.number) in self.inherited:
+            return RunViewStatus.INHERITED
+        return RunViewStatus.FRESH
+
+    def is_wanted(self, run):
+        """Whether a run should go on."""
+        job = self.table.job_by_id.get(run.task.job)
+        if job is None or not job.is_open:
+            return False
+        return (run.task, run.number) not in self.watch.evacuated
+
+    def start_order(self, run, lease_until_ms):
+        """Return the order that starts `run`, or None if it must not start."""
+        minion = self.table.minion_by_id.get(run.minion)
+        task = self.table.task(run.task)
+        if minion is None or minion.is_draining or task is None:
+            return None
+        step_key = run.task[:3]
+        ticket = self.permissions.ticket(step_key, run.minion)
+        if ticket is None and self.permissions.advice_of(step_key) is not None:
+            return None
+        return StartOrder(
+            task=run.task,
+            number=run.number,
+            payload=self.table.job_by_id[run.task.job].spec.payload,
+            lease_until_ms=lease_until_ms,
+            fence=self.fence,
+            checkpoint=task.checkpoint,
+            ticket=ticket or "",
+        )
+
+    # What the agents tell.
+
+    def note_order(self, order, run, reply):
+        """Log an order and what the minion said."""
+        log_event(
+            "run_ordered",
+            order=order,
+            job=run.task.job,
+            task=format_task(run.task),
+            run=run.number,
+            minion=run.minion,
+            fence=self.fence,
+            reply=reply.kind.value,
+            detail=reply.detail,
+        )
+
+    def step_of(self, run):
+        """Return the step of a run whose job is open, or None."""
+        job = self.table.job_by_id.get(run.task.job)
+        return job.spec.steps[run.task.step] if job and job.is_open else None
+
+    def note_stranger(self, agent, row):
+        """Log a run that the log does not hold; its lease ends it."""
+        log_event(
+            "unknown_run",
+            minion=agent.minion.id,
+            task=format_task(row.task),
+            run=row.number,
+        )
+
+    def end_runs(self, ends):
+        """Record that runs are over; return whether that is committed."""
+        if not self.propose(EndRuns(ends, wall_ms())):
+            return False
+        for end in ends:
+            log_event(
+                "run_ended",
+                job=end.task.job,
+                task=format_task(end.task),
+                run=end.number,
+                minion=end.minion,
+                result=end.result.value,
+            )
+        return True
+
+    def life_is_over(self, minion_id, reason):
+        """Record that a life of a minion is over."""
+        log_event("minion_removed", minion=minion_id, reason=reason)
+        self.propose(RemoveMinion(minion_id, wall_ms()))
+
+    def fenced(self, minion_id):
+        """Stop giving orders: a minion has heard a later leader."""
+        log_event("session_fenced", minion=minion_id, fence=self.fence)
+        self.is_over = True
+        self.woken.set()
+
+    def propose(self, command):
+        """Put a command into the log; return whether it is committed."""
+        if not self.leads():
+            return False
+        began = lease_seconds()
+        try:
+            outcome = self.replica.propose(
+                Envelope(Role.DISPATCHER, "", self.name, command)
+            )
+        except HingepitchError as error:
+            log_event("command_refused", command=type(command).__name__, error=error)
+            return False
+        # A quorum took the command, so nobody else had been elected.
+        self.confirmed_at = max(began, self.confirmed_at)
+        return outcome.accepted
+
+    # The loops.
+
+    def run(self):
+        """Work until the leadership has passed."""
+        for loop in (self.keep_confirming, self.follow_changes, self.log_loads):
+            self.spawn(loop)
+        if self.upkeep.platform is not None:
+            self.spawn(self.upkeep.run)
+            self.spawn(self.mover.run)
+        if self.permissions.adviser is not None:
+            self.spawn(self.permissions.run)
+        try:
+            while self.leads():
+                self.woken.wait(PASS_SECONDS)
+                self.woken.clear()
+                gevent.sleep(GATHER_SECONDS)
+                self.work_once()
+        finally:
+            self.is_over = True
+            gevent.killall(list(self.greenlets), block=False)
+            for agent in self.agent_by_minion.values():
+                agent.client.close()
+
+    def spawn(self, function, *arguments):
+        """Run a function for as long as the session lasts; return the greenlet.
+
+        A failure ends the session: the next one starts anew from the log.
+        """
+        greenlet = gevent.spawn(function, *arguments)
+        self.greenlets.add(greenlet)
+        greenlet.link(self.note_end)
+        return greenlet
+
+    def note_end(self, greenlet):
+        """Forget a greenlet; end the session if it failed."""
+        self.greenlets.discard(greenlet)
+        if not greenlet.successful():
+            log_event("child_failed", child="session", error=repr(greenlet.exception))
+            self.is_over = True
+            self.woken.set()
+
+    def keep_confirming(self):
+        """Confirm the leadership again and again, unless commits do it."""
+        while True:
+            began = lease_seconds()
+            if began - self.confirmed_at > CONFIRM_SECONDS:
+                self.confirm(began)
+            gevent.sleep(CONFIRM_SECONDS)
+
+    def confirm(self, began):
+        """Ask a quorum whether this replica still leads."""
+        try:
+            self.replica.confirm()
+            self.confirmed_at = max(began, self.confirmed_at)
+        except HingepitchError as error:
+            log_event("leader_unconfirmed", fence=self.fence, error=error.code)
+
+    def follow_changes(self):
+        """Wake the planner and the agents at every change of the state."""
+        while True:
+            self.replica.changed.wait()
+            self.woken.set()
+            gevent.sleep(0)
+
+    def log_loads(self):
+        """Log the load of each pool, now and then."""
+        while True:
+            gevent.sleep(LOAD_SECONDS)
+            for pool, load in measure_pools(self.table).items():
+                log_event(
+                    "pool_load",
+                    pool=pool,
+                    minions=load.minions,
+                    room=load.room,
+                    running=load.running,
+                    lasting=load.lasting,
+                    waiting=load.waiting,
+                    waiting_tasks=load.waiting_tasks,
+                )
+
+    def work_once(self):
+        """Keep the agents in step, open due rounds, plan, record."""
+        self.match_agents()
+        if not self.may_order():
+            return
+        self.open_due_rounds()
+        self.watch.leave_draining()
+        if not self.table.ready_steps:
+            return
+        starts, gangs = plan_starts(self.table, self.outlook())
+        if starts or gangs:
+            self.propose(StartRuns(starts, gangs, wall_ms()))
+            self.match_agents()
+
+    def match_agents(self):
+        """Have one agent for each life of a minion, and wake those with news."""
+        table = self.table
+        for minion_id, agent in list(self.agent_by_minion.items()):
+            if minion_id not in table.minion_by_id:
+                agent.stop()
+                del self.agent_by_minion[minion_id]
+        for minion_id, minion in table.minion_by_id.items():
+            agent = self.agent_by_minion.get(minion_id)
+            if agent is None:
+                agent = Agent(minion, self.connect(minion), self)
+                self.agent_by_minion[minion_id] = agent
+                agent.start()
+            agent.minion = minion
+        for minion_id in table.touched_minions:
+            if minion_id in self.agent_by_minion:
+                self.agent_by_minion[minion_id].wake.set()
+        table.touched_minions.clear()
+
+    def outlook(self):
+        """Return what the planner must know beyond the table."""
+        now = lease_seconds()
+        usable = {
+            minion_id
+            for minion_id, agent in self.agent_by_minion.items()
+            if agent.may_start(now)
+        }
+        usable -= self.upkeep.leaving_lives
+        permitted = {
+            step_key: self.permissions.permitted(step_key)
+            for step_key in self.table.ready_steps
+            if self.permissions.advice_of(step_key) is not None
+        }
+        doubt = {life: self.agent_by_minion[life].health.doubt(now) for life in usable}
+        return Outlook(wall_ms(), usable, doubt, permitted)
+
+    def open_due_rounds(self):
+        """Begin the rounds whose time has come."""
+        now_ms = wall_ms() + self.terms.early_ms
+        due = []
+        for job_id in self.table.repeated_jobs:
+            job = self.table.job_by_id[job_id]
+            spec = job.spec
+            if spec.first_due_ms + job.rounds_opened * spec.interval_ms <= now_ms:
+                due.append(job_id)
+        if due:
+            self.propose(OpenRounds(tuple(due)))
+
+    def note_beat(self, minion_id, clock_ms):
+        """Hear a minion speak by itself."""
+        agent = self.agent_by_minion.get(minion_id)
+        if agent is not None:
+            agent.note_beat(clock_ms)
--- a/hingepitch/jobs/spec.py
+++ b/hingepitch/jobs/spec.py
@@ -165,3 +165,8 @@
         if begins:
             ends[number] = max(begins) + steps[number].estimate_ms
     return max(ends.values())
+
+
+def format_task(key):
+    """Return the name of a task, as log lines and minions have it."""
+    return f"{key.job}.{key.round}.{key.step}.{key.index}"
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -137,7 +137,7 @@
     def evacuate(self, runs, is_late):
         """Stop the lasting tasks that may be away, and what is too slow."""
         for run in runs:
-            if (run.task, run.number) in self.session.evacuated:
+            if (run.task, run.number) in self.session.watch.evacuated:
                 continue
             step = self.session.step_of(run)
             if step is None:
@@ -147,7 +147,7 @@
             else:
                 may_stop = is_late
             if may_stop:
-                self.session.evacuate(run, "upkeep")
+                self.session.watch.evacuate(run, "upkeep")
 
     def may_be_away(self, run, step):
         """Whether a lasting task may be stopped within its budget."""
@@ -156,7 +156,7 @@
         away = 0
         for index in range(step.count):
             task = run.task._replace(index=index)
-            if task != run.task and not self.session.is_at_work(task):
+            if task != run.task and not self.session.watch.is_at_work(task):
                 away += 1
         return away < max(1, step.max_away)
 
--- /dev/null
+++ b/hingepitch/jobs/watch.py
@@ -0,0 +1,129 @@
+"""
+hingepitch.jobs.watch
+~~~~~~~~~~~~~~~~~~~~~
+
+What the leader makes of the runs it sees: which stand still, which leave,
+how fast fillers work, and how the minions do.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from hingepitch.clock import lease_seconds
+from hingepitch.jobs.agent import RunViewStatus
+from hingepitch.jobs.health import is_hung
+from hingepitch.jobs.pace import Neighbour, next_percent
+from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.spec import format_task
+from hingepitch.log import log_event
+
+__all__ = ["RunWatch"]
+
+#: How long a look waits at a minion where fillers run beside tasks that serve.
+#: Source: harm that lasts 4 s counts; a look, a decision and an order have to
+#: fit in well before.
+SHARED_LOOK_MS = 500
+
+
+class RunWatch:
+    """Judges the runs and the minions of one leadership.
+
+    `session`
+        The leadership: its table and its agents.
+    `evacuated`
+        Runs that are being stopped so that they go on elsewhere, by task and
+        number.
+    """
+
+    def __init__(self, session):
+        self.session = session
+        self.evacuated = set()
+
+    def evacuate(self, run, reason):
+        """Stop a run so that it goes on elsewhere."""
+        self.evacuated.add((run.task, run.number))
+        log_event(
+            "run_evacuated",
+            job=run.task.job,
+            task=format_task(run.task),
+            run=run.number,
+            minion=run.minion,
+            reason=reason,
+        )
+        self.session.agent_by_minion[run.minion].wake.set()
+
+    def is_at_work(self, task):
+        """Whether a lasting task is known to be at work."""
+        run = self.session.table.run_by_task.get(task)
+        agent = run and self.session.agent_by_minion.get(run.minion)
+        view = agent and agent.view_by_task.get(task)
+        if not view or view.row is None or view.row.percent < 100:
+            return False
+        is_running = view.status is RunViewStatus.RUNNING
+        return is_running and (task, run.number) not in self.evacuated
+
+    def fillers(self, agent):
+        """Return the views of the runs on a minion that only fill."""
+        views = agent.view_by_task.values()
+        steps = [(view, self.session.step_of(view.run)) for view in views]
+        return [view for view, step in steps if step and step.fills_spare_cpu]
+
+    def neighbours(self, agent):
+        """Yield what a look showed of the tasks that serve on a minion."""
+        for view in agent.view_by_task.values():
+            step = self.session.step_of(view.run)
+            if step and step.target_ms and view.row is not None:
+                yield Neighbour(view.row.load, step.target_ms)
+
+    def look_wait_ms(self, agent):
+        """Return how long a look may wait for an end."""
+        if self.fillers(agent) and any(self.neighbours(agent)):
+            return min(SHARED_LOOK_MS, self.session.terms.look_wait_ms)
+        return self.session.terms.look_wait_ms
+
+    def note_rows(self, agent):
+        """Act on what a look showed: tasks that stand still, and fillers."""
+        self.stop_hung(agent)
+        self.pace_fillers(agent)
+
+    def stop_hung(self, agent):
+        """Stop the tasks that stand still, so that they go on elsewhere."""
+        for view in agent.view_by_task.values():
+            step = self.session.step_of(view.run)
+            if view.row is None or step is None or step.lasts:
+                continue
+            if step.fills_spare_cpu or not is_hung(view.row_since, agent.looked_at):
+                continue
+            if self.session.is_wanted(view.run):
+                agent.health.note_trouble(view.run.task.job, lease_seconds())
+                self.evacuate(view.run, "stands still")
+
+    def pace_fillers(self, agent):
+        """Pace the fillers of a minion by its tasks that serve."""
+        fillers = self.fillers(agent)
+        if not fillers:
+            return
+        percent = next_percent(agent.filler_percent, list(self.neighbours(agent)))
+        agent.filler_percent = percent
+        for view in fillers:
+            if view.percent != percent and view.status is RunViewStatus.RUNNING:
+                agent.order_pace(view, percent)
+
+    def note_ends(self, agent, ends):
+        """Learn from ends that a minion listed how it does."""
+        now = lease_seconds()
+        for end in ends:
+            if end.result is RunResult.DONE:
+                agent.health.note_success(now)
+            elif end.result is RunResult.FAILED:
+                agent.health.note_trouble(end.task.job, now)
+
+    def leave_draining(self):
+        """Stop the lasting tasks on minions that drain: they would end anyway."""
+        for minion in self.session.table.minion_by_id.values():
+            if not minion.is_draining or minion.id not in self.session.agent_by_minion:
+                continue
+            for run in self.session.runs_of(minion.id).values():
+                step = self.session.step_of(run)
+                if step and step.lasts and self.session.is_wanted(run):
+                    self.evacuate(run, "the minion drains")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,9 +11,10 @@
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands, health as health_module
-from hingepitch.jobs.dispatch import Dispatcher, DispatchTerms
+from hingepitch.jobs.dispatch import Dispatcher
 from hingepitch.jobs.record import JobStatus
 from hingepitch.jobs.roster import MinionRoster
+from hingepitch.jobs.session import DispatchTerms
 from hingepitch.jobs.spec import Step
 from hingepitch.model.apply import apply
 from standin.taskminion import TaskMinion
@@ -148,8 +149,8 @@
     busy, free = (first, second) if first.starts else (second, first)
     busy.faults.stops += ["dropped"] * 2
     run = here.log.table.run_by_task[task()]
-    assert wait_until(lambda: here.dispatcher.session.is_at_work(task()), SECONDS)
-    here.dispatcher.session.evacuate(run, "test")
+    assert wait_until(lambda: here.dispatcher.session.watch.is_at_work(task()), SECONDS)
+    here.dispatcher.session.watch.evacuate(run, "test")
     here.dispatcher.session.agent_by_minion[busy.life].set_aside(60)
     assert wait_until(lambda: any(kind == "stop" for kind, _ in busy.calls), SECONDS)
     assert not free.starts
@@ -173,7 +174,7 @@
     here.submit(Step(3, lasts=True))
     assert wait_until(lambda: len(minion.running) == 3, SECONDS)
     here.lead_again()
-    assert wait_until(lambda: here.dispatcher.session.is_at_work(task()), SECONDS)
+    assert wait_until(lambda: here.dispatcher.session.watch.is_at_work(task()), SECONDS)
     assert len(minion.starts) == 3
     assert minion.fence == 2
     assert not any(kind == "stop" for kind, _ in minion.calls)
--- /dev/null
+++ b/tests/test_upkeep.py
@@ -0,0 +1,145 @@
+"""Upkeep waves by a session: emptied first, never more at once than allowed."""
+
+import gevent
+import pytest
+
+from hingepitch.httpd import wait_until
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.fleet import FleetReply
+from hingepitch.jobs.record import UpkeepStage
+from hingepitch.jobs.service import wall_ms
+from hingepitch.jobs.spec import Step
+from hingepitch.jobs.upkeep import UpkeepDesk
+from standin.taskminion import TaskMinion
+from tests.test_dispatch import SECONDS, Rig
+from tests.test_job_rules import JOB, make_minion
+
+UPKEEP_SECONDS = 0.4
+
+
+class Platform:
+    """Takes VMs down; they come back with another life when told so."""
+
+    def __init__(self, rig, *replies):
+        self.rig = rig
+        self.replies = list(replies)
+        self.calls = []
+        self.down = set()
+        self.most_down = 0
+        self.runs_at_call = []
+
+    def upkeep(self, vm, wave, holder, fence, seconds):
+        table = self.rig.log.table
+        self.runs_at_call.append(
+            len(table.runs_by_minion.get(table.life_by_vm[vm], {}))
+        )
+        reply = self.replies.pop(0) if self.replies else FleetReply.DONE
+        self.calls.append((vm, reply))
+        if reply is FleetReply.DONE and vm not in self.down:
+            self.down.add(vm)
+            self.most_down = max(self.most_down, len(self.down))
+            gevent.spawn_later(UPKEEP_SECONDS, self.bring_back, vm)
+        return reply
+
+    def bring_back(self, vm):
+        number = int(vm.removeprefix("vm-"))
+        minion = self.rig.minions[number]
+        minion.restart()
+        self.down.discard(vm)
+        record = make_minion(
+            number, id=minion.life, address=minion.address, cpu_millicores=16_000
+        )
+        self.rig.log.send(commands.RegisterMinion(record, 0))
+        self.rig.replica.wake()
+        self.rig.dispatcher.session.match_agents()
+        self.rig.dispatcher.note_beat(minion.life, minion.clock_ms())
+
+    def list_vms(self, seconds):
+        return None
+
+
+@pytest.fixture
+def rig():
+    made = Rig(*(TaskMinion(task_seconds=0.3) for _ in range(4)))
+    assert wait_until(lambda: made.dispatcher.session is not None, SECONDS)
+    yield made
+    made.close()
+
+
+def begin_wave(rig, platform, max_down=2, seconds=20):
+    session = rig.dispatcher.session
+    session.upkeep = UpkeepDesk(session, platform, UPKEEP_SECONDS)
+    session.spawn(session.upkeep.run)
+    vms = tuple(f"vm-{number}" for number in range(4))
+    due_ms = wall_ms() + seconds * 1000
+    rig.log.send(commands.PutWave(1, vms, max_down, due_ms))
+    return rig.log.table.wave_by_number[1]
+
+
+def test_a_wave_takes_every_vm_once_and_no_more_at_once_than_allowed(rig):
+    platform = Platform(rig)
+    wave = begin_wave(rig, platform)
+    assert wait_until(lambda: wave.is_done, 20)
+    assert sorted(vm for vm, _ in platform.calls) == [f"vm-{n}" for n in range(4)]
+    assert platform.most_down == 2
+
+
+def test_vms_are_empty_when_they_are_taken(rig):
+    platform = Platform(rig)
+    rig.submit(Step(40, cpu_millicores=1000))
+    wave = begin_wave(rig, platform)
+    assert wait_until(lambda: wave.is_done, 20)
+    assert set(platform.runs_at_call) == {0}
+
+
+def test_lasting_tasks_leave_one_at_a_time(rig):
+    for minion in rig.minions:
+        minion.task_seconds = None
+    rig.submit(Step(4, lasts=True, max_away=1, max_per_minion=2))
+    assert wait_until(
+        lambda: sum(len(one.running) for one in rig.minions) == 4, SECONDS
+    )
+    away = []
+    watch = rig.dispatcher.session.watch
+    evacuate = watch.evacuate
+
+    def note(run, reason):
+        tasks = [run.task._replace(index=index) for index in range(4)]
+        away.append(sum(not watch.is_at_work(one) for one in tasks))
+        evacuate(run, reason)
+
+    watch.evacuate = note
+    wave = begin_wave(rig, Platform(rig), max_down=4, seconds=60)
+    assert wait_until(lambda: wave.is_done, 30)
+    assert away and max(away) == 0
+    assert rig.log.table.job_by_id[JOB].is_open
+
+
+@pytest.mark.parametrize(
+    "reply", [FleetReply.UNSURE, FleetReply.TOO_MANY, FleetReply.BUSY]
+)
+def test_an_order_without_a_final_answer_is_given_again(rig, reply):
+    platform = Platform(rig, reply, reply)
+    wave = begin_wave(rig, platform, max_down=1)
+    assert wait_until(lambda: len(platform.calls) >= 3, SECONDS)
+    assert len({vm for vm, _ in platform.calls[:3]}) == 1
+    assert wait_until(lambda: wave.is_done, 20)
+
+
+def test_a_vm_that_is_not_of_the_wave_does_not_hold_it_up(rig):
+    platform = Platform(rig, FleetReply.NOT_IN_WAVE, FleetReply.UNKNOWN_VM)
+    wave = begin_wave(rig, platform)
+    assert wait_until(lambda: wave.is_done, 20)
+    assert len(platform.calls) == 4
+
+
+def test_another_leader_carries_on_an_upkeep_that_was_begun(rig):
+    rig.log.send(commands.PutWave(1, ("vm-0",), 1, 0))
+    rig.log.send(commands.BeginUpkeep(1, "vm-0", 0))
+    platform = Platform(rig)
+    session = rig.dispatcher.session
+    session.upkeep = UpkeepDesk(session, platform, UPKEEP_SECONDS)
+    session.spawn(session.upkeep.run)
+    wave = rig.log.table.wave_by_number[1]
+    assert wait_until(lambda: wave.stage_by_vm["vm-0"] is UpkeepStage.OVER, SECONDS)
+    assert platform.calls == [("vm-0", FleetReply.DONE)]
