A silent minion's lease is not renewed, so it can run out

Cause: every look put off the end of the lease, also the looks that got no answer, since any of them may arrive; tasks on a minion that was gone for good and silent were never given up. Found by taking the check of the lease out of the code: the old test stayed green, its lease was shorter than one time-out. Ruled out: the bound itself (drift, slack). Change: a minion that does not answer is looked at without a renewal and gets no new runs until it answers.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -46,6 +46,9 @@
 #: Pause after a call that got no answer, in seconds.
 RETRY_SECONDS = 0.25
 
+#: The same where nothing runs: nothing is waited for.
+IDLE_RETRY_SECONDS = 2.0
+
 #: A minion that refused for want of room or health is left alone for so long.
 ASIDE_SECONDS = 0.5
 
@@ -121,6 +124,7 @@
         self.filler_percent = 100
         self.health = MinionHealth()
         self.is_gone = False
+        self.is_silent = False
         self.greenlets = set()
 
     # Life cycle.
@@ -158,6 +162,7 @@
         """Whether new runs may be placed here."""
         return (
             not self.is_gone
+            and not self.is_silent
             and now >= self.aside_until
             and not self.health.is_sick(now)
             and now - self.heard_at < self.session.silence_seconds
@@ -288,7 +293,10 @@
         """Learn from any answer of the minion."""
         if reply.kind in (ReplyKind.UNSURE, ReplyKind.NOT_SENT):
             self.set_aside()
+            self.is_silent = True
+            self.look_wake.set()
             return
+        self.is_silent = False
         self.heard_at = lease_seconds()
         if reply.clock_ms is not None:
             self.note_clock(reply.clock_ms)
@@ -335,6 +343,8 @@
         """Whether something is to be learnt or told by a look."""
         if self.ends_told < self.ends_taken or self.clock_offset_ms is None:
             return True
+        if self.is_silent:
+            return True
         return any(
             view.status not in (RunViewStatus.FRESH, RunViewStatus.ORDERED)
             for view in self.view_by_task.values()
@@ -356,15 +366,19 @@
         sent_at = lease_seconds()
         wait_ms = self.wait_ms()
         taken = self.ends_taken
-        until = None if self.clock_offset_ms is None else self.lease_until_ms()
-        if until is not None:
+        until = None
+        # Each renewal may arrive, so each puts off the end of the lease: a
+        # minion that has fallen silent gets none until it answers again.
+        if self.clock_offset_ms is not None and not self.is_silent:
+            until = self.lease_until_ms()
             self.extend_lease()
         order = LookOrder(self.session.fence, taken, until, wait_ms)
         look = self.client.look(order, wait_ms / 1000 + ANSWER_SECONDS)
         self.note_reply(look.reply)
         if look.reply.kind is not ReplyKind.DONE:
             self.give_up_if_lapsed()
-            gevent.sleep(RETRY_SECONDS)
+            idle = not self.view_by_task
+            gevent.sleep(IDLE_RETRY_SECONDS if idle else RETRY_SECONDS)
             return
         self.looked_at = sent_at
         self.ends_told = max(self.ends_told, taken)
