--- a/hingepitch/admin/client.py
+++ b/hingepitch/admin/client.py
@@ -11,6 +11,7 @@
 import time
 import uuid
 
+from hingepitch import group
 from hingepitch.error import ERROR_BY_CODE, HingepitchError
 from hingepitch.jsoncall import call_json
 from hingepitch.setting import Address, Settings
@@ -24,16 +25,7 @@
 GIVE_UP_SECONDS = 30.0
 
 #: Codes after which another replica is asked, with the same command id.
-PASSING_CODES = frozenset(
-    (
-        "not_leader",
-        "no_leader",
-        "lost_leadership",
-        "peer_failed",
-        "queue_full",
-        "storage_failed",
-    )
-)
+PASSING_CODES = group.PASSING_CODES | {"queue_full"}
 
 
 class AdminSettings(Settings):
--- a/tests/test_frame.py
+++ b/tests/test_frame.py
@@ -4,12 +4,13 @@
 import pytest
 from gevent.event import AsyncResult
 
-from hingepitch.admin.client import AdminSettings
+from hingepitch.admin import client as admin_client
+from hingepitch.admin.client import AdminClient, AdminSettings
 from hingepitch.control.admission import Admission, Waiting
 from hingepitch.control.member import losses_left
 from hingepitch.control.roster import Roster
 from hingepitch.error import HingepitchError
-from hingepitch.group import GroupClient, may_resend
+from hingepitch.group import PASSING_CODES, GroupClient, may_resend
 from hingepitch.model.command import Envelope, PutPool, Role
 from hingepitch.model.record import Pool
 from hingepitch.model.state import State
@@ -177,3 +178,22 @@
     supervisor.start("child", gevent.sleep)
     supervisor.stop()
     assert supervisor.greenlet_by_name == {}
+
+
+def test_the_operators_client_asks_on_after_every_code_that_may_pass(monkeypatch):
+    codes = sorted(PASSING_CODES)
+    client = AdminClient(
+        AdminSettings(control=["127.0.0.1:1", "127.0.0.1:2"], token="t" * 16)
+    )
+    asked = []
+
+    def call_at(address, method, path, body=None):
+        asked.append(address)
+        if len(asked) <= len(codes):
+            raise HingepitchError(codes[len(asked) - 1])
+        return {"version": 1}
+
+    monkeypatch.setattr(client, "call_at", call_at)
+    monkeypatch.setattr(admin_client, "PAUSE_SECONDS", 0.0)
+    assert client.command(put={}) == {"version": 1}
+    assert len(asked) == len(codes) + 1
