--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -113,7 +113,8 @@
                 self.call_once_at_a_time(vm, pool)
         self.done &= set(table.move_by_vm.items())
         views = list(self.views(config, now))
-        for move in list(plan_moves(views, self.terms, self.impossible)):
+        moves = plan_moves(views, self.terms, self.impossible, table.has_had_work)
+        for move in list(moves):
             self.beginning[move.vm] = move.pool
             self.session.spawn(self.begin, move)
 
--- a/hingepitch/jobs/pool.py
+++ b/hingepitch/jobs/pool.py
@@ -107,16 +107,19 @@
     return max(terms.floor, load.spread, *(ceil(one) for one in needed))
 
 
-def plan_moves(pools, terms, impossible=frozenset()):
+def plan_moves(pools, terms, impossible=frozenset(), may_give_back=True):
     """Yield the moves that the pools want now.
 
     `impossible`
         Pairs of kind and pool that the platform has refused.
+    `may_give_back`
+        Whether idle VMs may go to the spares. Until work has come, the sizes
+        that the operators gave the pools are all that is known of the demand.
     """
     for pool in sorted(pools, key=lambda one: one.present - one.wanted):
         yield from borrow(pool, pools, terms, impossible)
     spare = next((pool for pool in pools if pool.is_spare), None)
-    if spare is not None:
+    if spare is not None and may_give_back:
         yield from give_back(spare, pools, terms, impossible)
 
 
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -93,6 +93,8 @@
         empties it.
     `move_by_vm`
         The pool to which a VM is being moved.
+    `has_had_work`
+        Whether a job with tasks that end by themselves was seen.
     """
 
     def __init__(self):
@@ -113,6 +115,7 @@
         self.repeated_jobs = {}
         self.touched_minions = set()
         self.pending_by_place = Counter()
+        self.has_had_work = False
 
     # Queues.
 
@@ -127,12 +130,18 @@
     def add_job(self, job):
         """Add an accepted job; its first round opens unless it has due times."""
         self.job_by_id[job.id] = job
+        self.note_work(job)
         self.pending_by_place[job.queue.place] += 1
         if job.spec.times:
             self.repeated_jobs[job.id] = None
         else:
             self.open_round(job)
 
+    def note_work(self, job):
+        """Note whether `job` has tasks that end by themselves."""
+        if not self.has_had_work:
+            self.has_had_work = any(not step.lasts for step in job.spec.steps)
+
     def open_round(self, job):
         """Begin the next round of `job`."""
         number = job.rounds_opened
@@ -398,6 +407,7 @@
     def restore_job(self, job):
         """Add a job of a snapshot, with its indices."""
         self.job_by_id[job.id] = job
+        self.note_work(job)
         if job.status is JobStatus.PENDING:
             self.pending_by_place[job.queue.place] += 1
         if job.is_open and job.rounds_opened < job.rounds_wanted:
--- a/tests/test_job_plan.py
+++ b/tests/test_job_plan.py
@@ -239,6 +239,22 @@
     ]
 
 
+def test_nothing_is_given_back_before_work_has_come():
+    pool = PoolView("pool", wanted=1, present=3, idle=idle(9, 9))
+    spare = PoolView("spare", is_spare=True)
+    assert not list(plan_moves([pool, spare], TERMS, may_give_back=False))
+
+
+def test_lasting_tasks_alone_are_not_work():
+    log = make_log(make_minion(1))
+    log.submit(Step(1, lasts=True))
+    assert not log.table.has_had_work
+    log.submit(Step(1), job=OTHER)
+    assert log.table.has_had_work
+    again = type(log.table).from_content(log.table.to_content())
+    assert again.has_had_work
+
+
 @pytest.mark.parametrize("kinds, impossible", [({"b"}, ()), ((), {("a", "busy")})])
 def test_vms_that_do_not_fit_a_pool_are_not_moved_there(kinds, impossible):
     busy = PoolView("busy", wanted=2, present=1, kinds=frozenset(kinds))
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -51,6 +51,7 @@
 
 
 def move_by(rig, api):
+    rig.log.table.has_had_work = True
     session = rig.dispatcher.session
     session.mover = MoveDesk(session, api, TERMS)
     session.spawn(session.mover.run)
