What a minion said before it fell silent is no proof that tasks are at work

Its last row, 100 percent, was still believed until its lease had run out.

Ruled out: two evacuations at once (they are counted), the count itself (the replay with logs shows one task away on the silent minion each time).

Change: a task on a minion whose last call got no answer is not at work.

Test: fails without the change (seen red), passes with it.

--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -58,10 +58,15 @@
         self.session.agent_by_minion[run.minion].wake.set()
 
     def is_at_work(self, task):
-        """Whether a lasting task is known to be at work."""
+        """Whether a lasting task is known to be at work.
+
+        What a minion said before it fell silent does not count.
+        """
         run = self.session.table.run_by_task.get(task)
         agent = run and self.session.agent_by_minion.get(run.minion)
-        view = agent and agent.view_by_task.get(task)
+        if not agent or agent.is_silent:
+            return False
+        view = agent.view_by_task.get(task)
         if not view or view.row is None or view.row.percent < 100:
             return False
         is_running = view.status is RunViewStatus.RUNNING
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -258,6 +258,20 @@
     assert first.clock_ms() > first.until
 
 
+def test_a_task_on_a_silent_minion_is_not_taken_to_be_at_work(rig):
+    minion = TaskMinion()
+    here = rig(minion, terms=replace(TERMS, lease_seconds=60.0))
+    here.submit(Step(1, lasts=True))
+    assert wait_until(lambda: here.dispatcher.session is not None, SECONDS)
+    watch = here.dispatcher.session.watch
+    assert wait_until(lambda: watch.is_at_work(task()), SECONDS)
+    minion.faults.looks += ["dropped"] * 50
+    assert wait_until(lambda: not watch.is_at_work(task()), SECONDS)
+    minion.faults.looks.clear()
+    assert wait_until(lambda: watch.is_at_work(task()), SECONDS)
+    assert len(minion.starts) == 1
+
+
 def test_a_leader_that_is_not_confirmed_gives_no_orders(rig):
     minion = TaskMinion()
     here = rig(minion)
