Log lines are bounded and never waited for; the leader's latencies are told

Cause: a reader of standard output that stops reading stopped the process with it, and nothing bounded the lines under load; the leader told no latencies, and the deploy file named no address for figures.

Tests: a pipe that nobody reads, lines over the limit, the figures of a real site.

--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -16,11 +16,11 @@
 
 from hingepitch import __version__
 from hingepitch.error import ExitCode, HingepitchError
-from hingepitch.log import configure_log, log_event
+from hingepitch.log import configure_log, log_event, make_log_buffer
 from hingepitch.setting import load_settings
 from hingepitch.supervisor import Supervisor
 
-__all__ = ["Application", "run_daemon"]
+__all__ = ["Application", "run_daemon", "run_logged"]
 
 
 class Application:
@@ -91,5 +91,16 @@
     if check:
         print(f"{settings_path}: fine")
         return ExitCode.FINE
-    configure_log(application.program, settings.log_level)
-    return application(settings).run()
+    return run_logged(application(settings), sys.stderr)
+
+
+def run_logged(application, stream):
+    """Run `application` with its log lines on `stream`; return the exit code."""
+    buffer = make_log_buffer(stream)
+    configure_log(application.program, application.settings.log_level, buffer)
+    flusher = gevent.spawn(buffer.keep_flushing)
+    try:
+        return application.run()
+    finally:
+        flusher.kill()
+        buffer.flush()
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -13,6 +13,7 @@
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.session import Session
 from hingepitch.log import log_event
+from hingepitch.metric import Metrics
 
 __all__ = ["Dispatcher"]
 
@@ -24,12 +25,20 @@
     """Runs a session for each leadership of this process.
 
     `replica`, `roster`, `connect`, `terms`, `name`, `platform`,
-    `adviser`
+    `adviser`, `metrics`
         As for `Session`; `roster` hears the minions.
     """
 
     def __init__(
-        self, replica, roster, connect, terms, name, platform=None, adviser=None
+        self,
+        replica,
+        roster,
+        connect,
+        terms,
+        name,
+        platform=None,
+        adviser=None,
+        metrics=None,
     ):
         self.replica = replica
         self.roster = roster
@@ -38,6 +47,7 @@
         self.name = name
         self.platform = platform
         self.adviser = adviser
+        self.metrics = metrics or Metrics("dispatch")
         self.session = None
         roster.on_beat = self.note_beat
 
@@ -65,6 +75,7 @@
             self.name,
             self.platform,
             self.adviser,
+            self.metrics,
         )
         log_event(
             "session_started",
--- /dev/null
+++ b/hingepitch/jobs/gauge.py
@@ -0,0 +1,62 @@
+"""
+hingepitch.jobs.gauge
+~~~~~~~~~~~~~~~~~~~~~
+
+What the leader counts and times, for its metrics.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from hingepitch.jobs.contact import ReplyKind
+from hingepitch.jobs.service import wall_ms
+
+__all__ = ["DispatchGauge"]
+
+
+class DispatchGauge:
+    """Counters and latency histograms of one leadership.
+
+    `metrics`
+        The `Metrics` of the process; it outlives the leadership.
+    `session`
+        The leadership, for its table.
+    """
+
+    def __init__(self, metrics, session):
+        self.metrics = metrics
+        self.session = session
+
+    def note_commit(self, command, seconds):
+        """Time a command from the leader's proposal to its commit."""
+        self.metrics.observe(
+            "commit_seconds",
+            "From proposal to commit.",
+            seconds,
+            command=type(command).__name__,
+        )
+
+    def note_order(self, order, run, reply):
+        """Count an order by its reply, and time the first start of a job."""
+        self.metrics.count(
+            "orders", "Orders to minions.", order=order, reply=reply.kind.value
+        )
+        is_first = run.number == 1 and run.task[1:] == (0, 0, 0)
+        if order == "start" and reply.kind is ReplyKind.DONE and is_first:
+            job = self.session.table.job_by_id.get(run.task.job)
+            if job is not None and not job.spec.times:
+                self.observe_since("first_start_seconds", job, wall_ms())
+
+    def note_ends(self, ends, at_ms):
+        """Count ends by their result, and time the jobs that they end."""
+        for end in ends:
+            self.metrics.count("runs_ended", "Runs by end.", result=end.result.value)
+        for job_id in {end.task.job for end in ends}:
+            job = self.session.table.job_by_id.get(job_id)
+            if job is not None and not job.is_open and job.ended_ms == at_ms:
+                self.observe_since("job_seconds", job, at_ms, status=job.status.value)
+
+    def observe_since(self, name, job, at_ms, **labels):
+        """Time a job from its acceptance until `at_ms` since the epoch."""
+        seconds = (at_ms - job.accepted_ms) / 1000
+        self.metrics.observe(name, "From acceptance.", seconds, **labels)
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -18,6 +18,7 @@
 from hingepitch.jobs.agent import Agent, RunViewStatus
 from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
 from hingepitch.jobs.contact import StartOrder
+from hingepitch.jobs.gauge import DispatchGauge
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveDesk
 from hingepitch.jobs.permission import PermissionDesk
@@ -101,13 +102,16 @@
         Client of the platform's API of VMs, or None where there is none.
     `adviser`
         Client of the service that permits minions, or None.
+    `metrics`
+        The `Metrics` of the process.
     """
 
-    def __init__(self, replica, connect, terms, name, platform=None, adviser=None):
+    def __init__(self, replica, connect, terms, name, platform, adviser, metrics):
         self.replica = replica
         self.connect = connect
         self.terms = terms
         self.name = name
+        self.gauge = DispatchGauge(metrics, self)
         self.permissions = PermissionDesk(self, adviser)
         self.watch = RunWatch(self)
         self.upkeep = UpkeepDesk(self, platform, terms.upkeep_seconds)
@@ -201,6 +205,7 @@
 
     def note_order(self, order, run, reply):
         """Log an order and what the minion said."""
+        self.gauge.note_order(order, run, reply)
         log_event(
             "run_ordered",
             order=order,
@@ -229,8 +234,10 @@
 
     def end_runs(self, ends):
         """Record that runs are over; return whether that is committed."""
-        if not self.propose(EndRuns(ends, wall_ms())):
+        at_ms = wall_ms()
+        if not self.propose(EndRuns(ends, at_ms)):
             return False
+        self.gauge.note_ends(ends, at_ms)
         for end in ends:
             log_event(
                 "run_ended",
@@ -265,6 +272,7 @@
         except HingepitchError as error:
             log_event("command_refused", command=type(command).__name__, error=error)
             return False
+        self.gauge.note_commit(command, lease_seconds() - began)
         # A quorum took the command, so nobody else had been elected.
         self.confirmed_at = max(began, self.confirmed_at)
         return outcome.accepted
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -14,7 +14,9 @@
 
 from loguru import logger
 
-__all__ = ["EVENTS", "configure_log", "format_pairs", "log_event"]
+from hingepitch.logsink import EventLimit, LineBuffer
+
+__all__ = ["EVENTS", "configure_log", "format_pairs", "log_event", "make_log_buffer"]
 
 #: Every event name with its level.
 EVENTS = {
@@ -68,8 +70,12 @@
     "settings_reloaded": "INFO",
     "claim_left_open": "WARNING",
     "bad_request": "INFO",
+    "lines_withheld": "WARNING",
+    "lines_dropped": "WARNING",
 }
 
+LIMIT = EventLimit()
+
 PLAIN_VALUE = re.compile(r"[\w.:/@+-]+\Z", re.ASCII)
 
 
@@ -88,12 +94,33 @@
 
 
 def log_event(event, **pairs):
-    """Log `event`, a name of `EVENTS`, with `pairs`."""
+    """Log `event`, a name of `EVENTS`, with `pairs`.
+
+    Lines beyond the limit of a second are counted, and the count is logged in
+    the next one.
+    """
+    for withheld, count in LIMIT.turn().items():
+        write_event("lines_withheld", {"of": withheld, "count": count})
+    if LIMIT.admits(event):
+        write_event(event, pairs)
+
+
+def write_event(event, pairs):
+    """Write the line of an event."""
     logger.log(EVENTS[event], "{}", format_pairs({"event": event, **pairs}))
 
 
+def make_log_buffer(stream):
+    """Return a `LineBuffer` for `stream` that logs how much it had to drop."""
+    return LineBuffer(stream, lambda count: log_event("lines_dropped", count=count))
+
+
 def configure_log(program, level="INFO", stream=None):
-    """Send the log lines of `program` to `stream`, default standard error."""
+    """Send the log lines of `program` to `stream`, default standard error.
+
+    `stream`
+        Anything with `write(line)`; a `LineBuffer` for a daemon.
+    """
     logger.remove()
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
     logger.add(
--- a/hingepitch/metric.py
+++ b/hingepitch/metric.py
@@ -16,7 +16,21 @@
 __all__ = ["Metrics"]
 
 ACCEPTS = ("text/plain",)
-SECONDS_BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
+SECONDS_BUCKETS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    2.5,
+    5,
+    10,
+)
 
 
 class Metrics:
--- /dev/null
+++ b/tests/test_logsink.py
@@ -0,0 +1,77 @@
+"""Log lines: bounded a second, and never waited for."""
+
+import os
+
+import pytest
+
+from hingepitch.log import format_pairs
+from hingepitch.logsink import EventLimit, LineBuffer
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    with os.fdopen(reader, "rb") as source, os.fdopen(writer, "wb") as sink:
+        os.set_blocking(reader, False)
+        yield source, sink
+
+
+def test_lines_go_out_in_order_and_whole(pipe):
+    source, sink = pipe
+    buffer = LineBuffer(sink, print)
+    lines = [f"line {number} {'x' * 300}\n" for number in range(100)]
+    for line in lines:
+        buffer.write(line)
+    buffer.flush()
+    assert source.read().decode() == "".join(lines)
+
+
+def test_a_reader_that_reads_nothing_stops_nobody_and_is_told_the_loss(pipe):
+    source, sink = pipe
+    drops = []
+    buffer = LineBuffer(sink, drops.append, max_bytes=10_000)
+    for _ in range(300):
+        buffer.write("x" * 999 + "\n")
+        buffer.flush()
+    assert buffer.size <= 10_000 and buffer.dropped
+    lost = buffer.dropped
+    read = source.read()
+    buffer.flush()
+    read += source.read()
+    assert len(read) == (300 - lost) * 1000
+    assert drops == [lost]
+
+
+def test_a_long_line_is_cut_into_writes_not_lost(pipe):
+    source, sink = pipe
+    buffer = LineBuffer(sink, print)
+    buffer.write("y" * 20_000 + "\n")
+    buffer.flush()
+    assert len(source.read()) == 20_001
+
+
+def test_a_reader_that_is_gone_is_no_failure(pipe):
+    source, sink = pipe
+    buffer = LineBuffer(sink, print)
+    source.close()
+    buffer.write("text\n")
+    buffer.flush()
+    assert not buffer.lines
+
+
+def test_events_over_the_limit_are_counted():
+    now = [10.0]
+    limit = EventLimit(lambda: now[0], lines_per_second=2)
+    limit.turn()
+    assert [limit.admits("a") for _ in range(5)] == [True, True, False, False, False]
+    assert limit.admits("b")
+    assert limit.turn() == {}
+    now[0] = 11.2
+    assert limit.turn() == {"a": 3}
+    assert limit.admits("a")
+    now[0] = 12.0
+    assert limit.turn() == {}
+
+
+def test_no_value_adds_a_line():
+    assert "\n" not in format_pairs({"detail": "a\nevent=b"})
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from adapter.settings import METRICS_PORT
 from standin.cluster import http_call, wait_for
 from standin.site import HOST, Site
 
@@ -36,6 +37,25 @@
     finish(site, JOBS[:20])
 
 
+def figures(ip):
+    return http_call(f"{ip}:{METRICS_PORT}", "GET", "/metrics")[2].decode()
+
+
+def test_the_leader_and_the_entries_tell_what_they_did_and_how_long_it_took(site):
+    for job in JOBS[:3]:
+        assert site.submit(job, 2, 1) == 200
+    finish(site, JOBS[:3])
+    told = figures(site.leader())
+    assert 'hingepitch_runs_ended{program="control",result="done"} 9' in told
+    for name in ("first_start_seconds", "job_seconds", "commit_seconds"):
+        assert f"hingepitch_{name}_bucket" in told
+    assert (
+        'hingepitch_job_seconds_count{program="control",status="succeeded"} 3' in told
+    )
+    entries = "".join(figures(ip) for ip in site.entry_ips)
+    assert 'hingepitch_call_seconds_count{method="POST",program="entry"}' in entries
+
+
 def test_a_paused_leader_does_no_harm_when_it_wakes(site):
     for job in JOBS[:10]:
         assert site.submit(job, 3, 2) == 200
