Pools follow what arrives; idle VMs stay for two seconds after the first work

Ruled out: the platform's limit on moves (187 of 1,473 calls refused, all busy), processor time of the leader (0.67 of 1.5 cores at most).

Change: nothing is given back in the first 2 s that a leader sees work; a pool wants at least the cores that keep up with the arrivals of the last half second (Little's law, less the standard error).

--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -13,6 +13,7 @@
 import gevent
 
 from hingepitch.clock import lease_seconds
+from hingepitch.jobs.arrival import ArrivalRate, work_core_ms
 from hingepitch.jobs.command import BeginMove, EndMove, RemoveMinion
 from hingepitch.jobs.fleet import FleetReply, VmState
 from hingepitch.jobs.load import PoolLoad, measure_pools
@@ -42,6 +43,11 @@
 #: A pool in which tasks wait for so long wants one more minion, in seconds.
 STARVING_SECONDS = 0.4
 
+#: Idle VMs stay where they are for so long after the first work that a leader
+#: sees, in seconds: it knows no pool's demand before. Source: a burst shows its
+#: width within its longest jobs, about 2 s.
+LEARNING_SECONDS = 2.0
+
 #: A pool keeps wanting what it wanted within this time, in seconds. Source:
 #: 2 s kept pools at twice of what they used for seconds behind each burst.
 PEAK_SECONDS = 0.5
@@ -92,6 +98,8 @@
         self.spare_vms = {}
         self.kind_by_vm = {}
         self.listed_at = 0.0
+        self.worked_since = None
+        self.rate_by_pool = {}
 
     def run(self):
         """Decide and move until killed."""
@@ -107,19 +115,44 @@
     def step(self, config, now):
         """Carry on the moves that were begun, then begin others."""
         self.read_list_if_due(now)
+        self.note_arrivals(now)
         table = self.session.table
         for vm, pool in list(table.move_by_vm.items()):
             if (vm, pool) not in self.done:
                 self.call_once_at_a_time(vm, pool)
         self.done &= set(table.move_by_vm.items())
         views = list(self.views(config, now))
-        moves = plan_moves(views, self.terms, self.impossible, table.has_had_work)
+        moves = plan_moves(views, self.terms, self.impossible, self.knows_demand(now))
         for move in list(moves):
             self.beginning[move.vm] = move.pool
             self.session.spawn(self.begin, move)
 
     # What the decision needs.
 
+    def knows_demand(self, now):
+        """Whether work has been seen for long enough to give VMs back."""
+        if self.worked_since is None and self.session.table.has_had_work:
+            self.worked_since = now
+        return (
+            self.worked_since is not None and now - self.worked_since > LEARNING_SECONDS
+        )
+
+    def note_arrivals(self, now):
+        """Note the work of the jobs that were accepted since the last step."""
+        table = self.session.table
+        for job_id in table.take_arrived_jobs():
+            job = table.job_by_id.get(job_id)
+            if job is None or job.spec.times:
+                continue
+            pool = table.policy(job).pool
+            rate = self.rate_by_pool.setdefault(pool, ArrivalRate())
+            rate.note(work_core_ms(job.spec), now)
+
+    def arriving(self, pool, now):
+        """Return the millicores that keep up with what arrives at a pool."""
+        rate = self.rate_by_pool.get(pool)
+        return rate.millicores(now) if rate is not None else 0
+
     def read_list_if_due(self, now):
         """Read the platform's list now and then, beside the decisions."""
         if not self.is_listing and now - self.listed_at >= LIST_SECONDS:
@@ -162,7 +195,8 @@
                 view.idle = list(self.spare_idle(pool.name))
                 view.present = len(view.idle)
             elif pool.name in used and load.minions:
-                wanted = wanted_minions(load, self.terms)
+                arriving = self.arriving(pool.name, now)
+                wanted = wanted_minions(load, self.terms, arriving)
                 if self.is_starving(pool.name, load, now):
                     wanted = max(wanted, load.minions + 1)
                 peak = self.peak_by_pool.setdefault(pool.name, Peak())
--- a/hingepitch/jobs/pool.py
+++ b/hingepitch/jobs/pool.py
@@ -91,11 +91,16 @@
     pool: str
 
 
-def wanted_minions(load, terms):
-    """Return how many minions a pool of `load` wants."""
+def wanted_minions(load, terms, arriving=0):
+    """Return how many minions a pool of `load` wants.
+
+    `arriving`
+        Millicores that keep up with the work that arrives.
+    """
     spared = 1 - terms.late_part
+    present = load.running + load.waiting - spared * load.waiting_late
     parts = (
-        (load.running + load.waiting - spared * load.waiting_late, load.room),
+        (max(present, load.lasting + arriving), load.room),
         (
             load.running_mb + load.waiting_mb - spared * load.waiting_late_mb,
             load.room_mb,
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -9,7 +9,7 @@
 :license: BSD, see LICENSE for details.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass
 
 import msgspec
@@ -36,6 +36,10 @@
 ENDED_JOB_RETENTION_MS = 240_000
 MAX_ENDED_JOBS = 20_000
 
+#: Jobs remembered for the leader's measure of what arrives. Source: ten times
+#: of what the busiest day played brings in a step of the measure.
+MAX_ARRIVED_JOBS = 256
+
 #: Lives of minions that are over and must not come back by a late message.
 MAX_ENDED_LIVES = 4096
 
@@ -93,6 +97,8 @@
         empties it.
     `move_by_vm`
         The pool to which a VM is being moved.
+    `arrived_jobs`
+        Jobs accepted since the leader last asked, the latest ones only.
     `has_had_work`
         Whether a job with tasks that end by themselves was seen.
     """
@@ -115,6 +121,7 @@
         self.repeated_jobs = {}
         self.touched_minions = set()
         self.pending_by_place = Counter()
+        self.arrived_jobs = deque(maxlen=MAX_ARRIVED_JOBS)
         self.has_had_work = False
 
     # Queues.
@@ -131,6 +138,7 @@
         """Add an accepted job; its first round opens unless it has due times."""
         self.job_by_id[job.id] = job
         self.note_work(job)
+        self.arrived_jobs.append(job.id)
         self.pending_by_place[job.queue.place] += 1
         if job.spec.times:
             self.repeated_jobs[job.id] = None
@@ -142,6 +150,12 @@
         if not self.has_had_work:
             self.has_had_work = any(not step.lasts for step in job.spec.steps)
 
+    def take_arrived_jobs(self):
+        """Return the ids of the jobs that came since the last call."""
+        arrived = list(self.arrived_jobs)
+        self.arrived_jobs.clear()
+        return arrived
+
     def open_round(self, job):
         """Begin the next round of `job`."""
         number = job.rounds_opened
--- a/tests/test_job_plan.py
+++ b/tests/test_job_plan.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hingepitch.jobs import command as commands
+from hingepitch.jobs.arrival import WINDOW_SECONDS, ArrivalRate, work_core_ms
 from hingepitch.jobs.load import PoolLoad, measure_pools
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.pool import (
@@ -15,7 +16,7 @@
 )
 from hingepitch.jobs.queue import AdviceTerms, Queue
 from hingepitch.jobs.record import RunResult
-from hingepitch.jobs.spec import Step, chain_from_ms, longest_chain_ms
+from hingepitch.jobs.spec import JobSpec, Step, chain_from_ms, longest_chain_ms
 from hingepitch.jobs.table import Room
 from hingepitch.jobs.upkeep import patience_seconds
 from tests.test_job_rules import HOST, JOB, Log, make_config, make_minion, task
@@ -218,6 +219,32 @@
     assert wanted_minions(load, TERMS) == wanted
 
 
+def test_a_pool_wants_room_for_what_arrives_beside_what_lasts():
+    load = PoolLoad(minions=2, room=8000, running=1000, lasting=1000)
+    assert wanted_minions(load, TERMS, arriving=11_000) == 3
+    assert wanted_minions(load, TERMS, arriving=11_001) == 4
+
+
+def test_arrivals_tell_the_cores_that_keep_up_with_them():
+    rate = ArrivalRate()
+    assert rate.millicores(1.0) == 0
+    rate.note(1000, 1.0)
+    assert rate.millicores(1.0) == 0, "one arrival tells no rate"
+    for _ in range(15):
+        rate.note(1000, 1.1)
+    assert rate.millicores(1.2) == 16_000 / WINDOW_SECONDS * 0.75
+    assert rate.millicores(1.2 + WINDOW_SECONDS) == 0
+
+
+def test_the_work_of_a_job_counts_its_tasks_that_end():
+    steps = (
+        Step(6, cpu_millicores=500, estimate_ms=1000),
+        Step(2, cpu_millicores=250, estimate_ms=2000, after=(0,)),
+        Step(5, cpu_millicores=900, estimate_ms=700, lasts=True),
+    )
+    assert work_core_ms(JobSpec("", steps)) == 4000
+
+
 def test_a_busy_pool_takes_spares_first_then_what_others_can_lend():
     busy = PoolView("busy", wanted=4, present=1)
     calm = PoolView("calm", wanted=1, present=3, idle=idle(0.2, 2, 5, name="calm"))
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from hingepitch.clock import lease_seconds
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands, mover as mover_module
 from hingepitch.jobs.fleet import FleetReply, VmRow, VmState
@@ -50,6 +51,11 @@
     made.close()
 
 
+@pytest.fixture(autouse=True)
+def no_learning(monkeypatch):
+    monkeypatch.setattr(mover_module, "LEARNING_SECONDS", 0.0)
+
+
 def move_by(rig, api):
     rig.log.table.has_had_work = True
     session = rig.dispatcher.session
@@ -68,6 +74,16 @@
     assert len(rig.log.table.minion_by_id) == 1
 
 
+def test_a_leader_learns_the_demand_before_it_gives_vms_back(rig, monkeypatch):
+    monkeypatch.setattr(mover_module, "LEARNING_SECONDS", 1.5)
+    api = FleetApi({"vm-0": "pool", "vm-1": "pool"})
+    desk = move_by(rig, api)
+    assert wait_until(lambda: desk.worked_since is not None, SECONDS)
+    since = desk.worked_since
+    assert wait_until(lambda: api.moves, SECONDS)
+    assert lease_seconds() - since > 1.5
+
+
 def test_a_vm_with_runs_is_never_moved(rig):
     rig.submit(Step(2, lasts=True, max_per_minion=1))
     assert wait_until(lambda: len(rig.log.table.run_by_task) == 2, SECONDS)
