The three walks of the operators' page are tests; lost and regained leaders are logged

Cause: nothing showed that the page's way from an id to a cause still works, and no line said when an entry lost its leader and had one again.

Change: a real site, its log files alone: a late job (its last starts waited for room), a failed one (three tries and their minions), a refused one (code, lost leader, leader again). leader_lost, leader_found, peer_reachable.

--- a/hingepitch/control/peer.py
+++ b/hingepitch/control/peer.py
@@ -130,6 +130,8 @@
         try:
             link.client.call("deliver", [to_wire(message) for message in batch])
             self.messages_sent += len(batch)
+            if not link.reachable:
+                log_event("peer_reachable", address=link.client.address)
             link.reachable = True
         except HingepitchError as error:
             if link.reachable:
--- a/hingepitch/group.py
+++ b/hingepitch/group.py
@@ -12,6 +12,7 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
+from hingepitch.log import log_event
 from hingepitch.model.codec import decode_outcome, encode_envelope
 from hingepitch.rpc import ControlClient
 
@@ -43,6 +44,8 @@
         Longest wait for one answer of one replica.
     `connections`
         Calls at once to each replica.
+    `lost_at`
+        Since when no leader has answered, or None while one does.
     """
 
     def __init__(self, addresses, name, key, timeout_seconds=5.0, connections=4):
@@ -55,6 +58,7 @@
         self.turn = 0
         self.preferred = self.addresses[0]
         self.misses = 0
+        self.lost_at = None
 
     def set_addresses(self, addresses):
         """Replace the known replicas; connections to others are closed."""
@@ -86,12 +90,29 @@
         """Call the replica that led last; learn who leads if it does not."""
         address = self.preferred
         try:
-            return self.client(address).call(method, *arguments)
+            answer = self.client(address).call(method, *arguments)
+            self.note_leader(address)
+            return answer
         except HingepitchError as error:
             if error.code in PASSING_CODES:
+                self.note_no_leader(address, error)
                 self.prefer_another(address, getattr(error, "leader", ""))
             raise
 
+    def note_leader(self, address):
+        """Log that the leader answers again."""
+        if self.lost_at is None:
+            return
+        seconds = round(lease_seconds() - self.lost_at, 3)
+        self.lost_at = None
+        log_event("leader_found", address=address, seconds=seconds)
+
+    def note_no_leader(self, address, error):
+        """Log, once, that the replica that led last does not answer or lead."""
+        if self.lost_at is None:
+            self.lost_at = lease_seconds()
+            log_event("leader_lost", address=address, error=error.code)
+
     def prefer_another(self, address, leader):
         """Ask the leader next time, or the next replica.
 
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -36,6 +36,7 @@
     "stranger_refused": "WARNING",
     "bad_frame": "WARNING",
     "peer_unreachable": "WARNING",
+    "peer_reachable": "INFO",
     "command_refused": "INFO",
     "command_accepted": "INFO",
     "lease_lost": "WARNING",
@@ -70,6 +71,8 @@
     "settings_reloaded": "INFO",
     "claim_left_open": "WARNING",
     "bad_request": "INFO",
+    "leader_lost": "WARNING",
+    "leader_found": "INFO",
     "lines_withheld": "WARNING",
     "lines_dropped": "WARNING",
 }
--- a/standin/taskfleet.py
+++ b/standin/taskfleet.py
@@ -29,6 +29,9 @@
 
 BEAT_SECONDS = 0.5
 
+#: Tasks of jobs whose id begins so fail wherever they run.
+FAILING_PREFIX = "fa11"
+
 
 class ReportingMinion(TaskMinion):
     """A minion that notes what it does and reports to the system."""
@@ -48,6 +51,12 @@
             self.fleet.note("start", self, body["task"], body["run"])
         return result
 
+    def finish(self, life, task, run, how="done"):
+        """End a run by itself; some jobs always fail."""
+        if task.startswith(FAILING_PREFIX):
+            how = "failed"
+        super().finish(life, task, run, how)
+
     def end(self, task, how):
         """End a run, and note it."""
         run = self.running[task].run
--- /dev/null
+++ b/tests/test_walks.py
@@ -0,0 +1,88 @@
+"""From the id of a request to its cause, by log lines alone, as the page says."""
+
+import re
+from datetime import datetime
+
+import pytest
+
+from standin.cluster import http_call, wait_for
+from standin.site import HOST, Site
+from standin.taskfleet import FAILING_PREFIX
+
+PAIR = re.compile(r"(\w+)=(\S+)")
+
+
+@pytest.fixture(scope="module")
+def site():
+    with Site(controls=3, entries=1, minions=2, task_seconds=0.3) as made:
+        made.start()
+        assert made.put_config(1) == 200
+        yield made
+
+
+def lines_of(site, job):
+    """Return the lines about a job from all processes, as maps, in their order."""
+    lines = [
+        dict(PAIR.findall(line))
+        for process in site.process_by_ip.values()
+        for line in process.log().splitlines()
+        if f"job={job}" in line
+    ]
+    return sorted(lines, key=lambda line: line["time"])
+
+
+def wait_lines(site, job, event, count=1, **fields):
+    wanted = {"event": event, **fields}.items()
+
+    def found():
+        lines = [one for one in lines_of(site, job) if wanted <= one.items()]
+        return lines if len(lines) >= count else None
+
+    return wait_for(found, what=f"{count} lines {event}")
+
+
+def seconds_between(first, second):
+    times = [datetime.fromisoformat(line["time"]) for line in (first, second)]
+    return (times[1] - times[0]).total_seconds()
+
+
+def test_a_late_job_shows_where_its_time_went(site):
+    job = f"{1:016x}"
+    assert site.submit(job, 100) == 200, "more tasks than the minions have room for"
+    wait_for(lambda: site.state(job) == "succeeded", what="the end of the job")
+    accepted = wait_lines(site, job, "job_accepted")[0]
+    started = wait_lines(site, job, "run_ordered", 100, reply="done")
+    wait_lines(site, job, "run_ended", 100, result="done")
+    assert len({line["task"] for line in started}) == 100
+    assert seconds_between(accepted, started[0]) < 0.25
+    assert seconds_between(accepted, started[-1]) > 0.25, "the last ones had to wait"
+
+
+def test_a_failed_job_shows_each_try_and_its_minion(site):
+    job = FAILING_PREFIX.ljust(16, "0")
+    assert site.submit(job, 1) == 200
+    wait_for(lambda: site.state(job) == "failed", what="the failure")
+    ends = wait_lines(site, job, "run_ended", 3)
+    assert [(line["run"], line["result"]) for line in ends] == [
+        ("1", "failed"),
+        ("2", "failed"),
+        ("3", "failed"),
+    ]
+    assert all(line["minion"].startswith("i-") for line in ends)
+
+
+def test_a_refused_job_shows_its_code_and_the_lost_leader(site):
+    job = f"{3:016x}"
+    for ip in site.control_ips:
+        site.process_by_ip[ip].kill()
+    body = b'{"spec":"text","steps":[{"count":1}]}'
+    address = f"{site.entry_ips[0]}:{site.port}"
+    answer = http_call(address, "POST", f"/q/{job}", body, {"Host": HOST}, timeout=3)
+    code = {503: "no_leader", 504: "deadline_passed"}[answer[0]]
+    refused = wait_lines(site, job, "request_refused")[0]
+    assert (refused["method"], refused["code"]) == ("POST", code)
+    entry = site.process_by_ip[site.entry_ips[0]]
+    wait_for(lambda: "event=leader_lost" in entry.log(), what="the lost leader")
+    for ip in site.control_ips:
+        site.restart(ip)
+    wait_for(lambda: "event=leader_found" in entry.log(), what="the leader again")
