--- a/standin/faults.py
+++ b/standin/faults.py
@@ -20,7 +20,14 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-COPIED = ("hingepitch", "standin", "tests", "examples", "pyproject.toml")
+COPIED = (
+    "hingepitch",
+    "standin",
+    "tests",
+    "examples",
+    "conftest.py",
+    "pyproject.toml",
+)
 RUN_SECONDS = 180
 
 #: Faults tried at once; each runs a whole system.
--- /dev/null
+++ b/tests/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the scenarios, by what they are about."""
