Planted faults for jobs; each planted fault has to fit the code

Cause: the list had no fault of the job rules, and one entry named a file that had moved: nothing noticed, since the list is run by hand.

Change: five faults of the job rules (a start without an answer, runs of an earlier leader, a silent minion's last word, a draining minion, a VM with runs); a test that each edit fits the code; the copy takes platform/ along.

--- a/standin/faults.py
+++ b/standin/faults.py
@@ -23,6 +23,7 @@
 COPIED = (
     "hingepitch",
     "standin",
+    "platform",
     "tests",
     "examples",
     "conftest.py",
@@ -107,12 +108,12 @@
         "a connection is used again after a time-out",
         (
             (
-                "entry/exchange.py",
+                "exchange.py",
                 "        except gevent.Timeout:\n            sock.close()",
                 "        except gevent.Timeout:\n            self.give_back(sock)",
             ),
             (
-                "entry/exchange.py",
+                "exchange.py",
                 "if since > horizon and not is_readable(sock):",
                 "if since > horizon:",
             ),
@@ -124,12 +125,12 @@
         "a failed exchange is called not run",
         (
             (
-                "entry/exchange.py",
+                "exchange.py",
                 'return Failure("minion_failed", Run.UNKNOWN, str(error))',
                 'return Failure("minion_failed", Run.NOT_RUN, str(error))',
             ),
             (
-                "entry/exchange.py",
+                "exchange.py",
                 'return Failure("deadline_passed", Run.UNKNOWN, "no answer in time")',
                 'return Failure("deadline_passed", Run.NOT_RUN, "no answer in time")',
             ),
@@ -262,6 +263,65 @@
         ),
         "disk_is_lost",
     ),
+    Fault(
+        "jobs",
+        "a start without an answer is taken not to have happened",
+        (
+            (
+                "jobs/agent.py",
+                "elif reply.kind in (ReplyKind.UNSURE, ReplyKind.RUN_TOO_OLD):",
+                "elif reply.kind is ReplyKind.RUN_TOO_OLD:",
+            ),
+        ),
+        "without_an_answer_is_settled",
+    ),
+    Fault(
+        "jobs",
+        "a new leader trusts every recorded run",
+        (
+            (
+                "jobs/session.py",
+                "return RunViewStatus.INHERITED",
+                "return RunViewStatus.RUNNING",
+            ),
+            (
+                "jobs/agent.py",
+                "elif view.status is RunViewStatus.RUNNING and sent_at > "
+                "view.answered_at:",
+                "elif False:",
+            ),
+        ),
+        "does_not_trust_a_run",
+    ),
+    Fault(
+        "jobs",
+        "what a silent minion said last is believed",
+        (("jobs/watch.py", "if not agent or agent.is_silent:", "if not agent:"),),
+        "on_a_silent_minion",
+    ),
+    Fault(
+        "jobs",
+        "tasks start on minions that drain",
+        (
+            (
+                "jobs/table.py",
+                "if minion.is_draining or minion.vm in self.move_by_vm:",
+                "if minion.vm in self.move_by_vm:",
+            ),
+            (
+                "jobs/session.py",
+                "if minion is None or minion.is_draining or task is None:",
+                "if minion is None or task is None:",
+            ),
+        ),
+        "started_on_a_minion_that_drains",
+    ),
+    Fault(
+        "jobs",
+        "a VM is moved with its runs",
+        (("jobs/rule.py", 'raise Refusal("not_drained"', 'print("not_drained"'),),
+        "with_runs_is_never_moved",
+    ),
 )
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -55,6 +55,12 @@
     assert [fault for fault in FAULTS if fault.promise == tag]
 
 
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.name)
+def test_every_planted_fault_fits_the_code(fault):
+    for name, old, _ in fault.edits:
+        assert (ROOT / "hingepitch" / name).read_text().count(old) == 1
+
+
 def names_in_code(pattern):
     """Return what `pattern` finds in the code of the product."""
     found = set()
