--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -100,6 +100,8 @@
         self.listed_at = 0.0
         self.worked_since = None
         self.rate_by_pool = {}
+        # What came under earlier leaders does not arrive now.
+        session.table.take_arrived_jobs()
 
     def run(self):
         """Decide and move until killed."""
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -74,6 +74,19 @@
     assert len(rig.log.table.minion_by_id) == 1
 
 
+def test_jobs_of_earlier_leaders_do_not_arrive_now(rig):
+    for number in range(9):
+        rig.log.submit(Step(4, estimate_ms=900), job=f"{number:016x}")
+    session = rig.dispatcher.session
+    desk = MoveDesk(session, FleetApi({}), TERMS)
+    desk.note_arrivals(lease_seconds())
+    assert not desk.rate_by_pool
+    for number in range(9, 12):
+        rig.log.submit(Step(4, 500, estimate_ms=900), job=f"{number:016x}")
+    desk.note_arrivals(lease_seconds())
+    assert desk.arriving("pool", lease_seconds()) > 0
+
+
 def test_a_leader_learns_the_demand_before_it_gives_vms_back(rig, monkeypatch):
     monkeypatch.setattr(mover_module, "LEARNING_SECONDS", 1.5)
     api = FleetApi({"vm-0": "pool", "vm-1": "pool"})
