A start without an answer is ordered again at once, and doubt is settled beside held looks

Ruled out: a lack of VMs (room was free), the leader's processor (0.25 cores of 1.8).

Change: the same run number is ordered once more beside the first call, after a wait that follows what the minion's answers take (RFC 6298); a minion starts a run number once, so this is safe, and a refusal of one of the two orders does not speak for the other. Runs in doubt are looked for beside a held look; a look without an answer is followed by another one at once.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -11,94 +11,42 @@
 :license: BSD, see LICENSE for details.
 """
 
-import enum
-from dataclasses import dataclass
-
 import gevent
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
 from hingepitch.clock import lease_seconds
+from hingepitch.jobs.answer import AnswerTime
 from hingepitch.jobs.command import RunEnd
-from hingepitch.jobs.contact import (
-    LookOrder,
-    PaceOrder,
-    ReplyKind,
-    StopOrder,
-)
+from hingepitch.jobs.contact import PaceOrder, Reply, ReplyKind, StopOrder
 from hingepitch.jobs.health import MinionHealth
+from hingepitch.jobs.look import UNCONFIRMED_SECONDS, LookDesk
 from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.log import log_event
 
-__all__ = ["Agent", "RunView", "RunViewStatus"]
+__all__ = ["Agent"]
 
 #: Orders on their way to one minion at once; each takes a connection.
 ORDERS_AT_ONCE = 2
 
-#: How long a look waits while a stop is under way. Source: stops end within
-#: 200 to 400 ms.
-STOPPING_LOOK_MS = 300
-
-#: Time for an answer beyond the wait that was asked for, in seconds. Source:
-#: stops were answered within 5 ms on the day looked at; where answers get lost,
-#: each second of waiting for one is a second in which no end is seen. An order
-#: that is given up too soon is only looked for.
+#: Time after which an order without an answer is given up, in seconds. Source:
+#: orders were answered within 5 ms on the day looked at; one that is given up
+#: too soon is only looked for.
 ANSWER_SECONDS = 0.4
 
-#: Pause after a call that got no answer, in seconds.
-RETRY_SECONDS = 0.25
-
-#: The same where nothing runs: nothing is waited for.
-IDLE_RETRY_SECONDS = 2.0
+#: Replies after which it is known what became of a start that was ordered
+#: twice: any other refusal speaks for one of the two orders only.
+SETTLING_KINDS = frozenset((ReplyKind.DONE, ReplyKind.OTHER_LIFE, ReplyKind.FENCED))
 
-#: Pause while the leader is not confirmed and may give no orders, in seconds.
-#: Source: it confirms itself every 0.15 s; without a pause, orders that wait
-#: held the processor until then.
-UNCONFIRMED_SECONDS = 0.05
+#: Pause after a stop that got no answer, and before views that are not settled
+#: are gone over again, in seconds.
+RETRY_SECONDS = 0.25
 
 #: A minion that refused for want of room or health is left alone for so long.
 ASIDE_SECONDS = 0.5
 
 
-class RunViewStatus(enum.Enum):
-    """What the agent knows of a run.
-
-    `FRESH`: recorded by this leader, never ordered. `INHERITED`: recorded by
-    an earlier leader. `ORDERED`: the start is on its way. `RUNNING`: the
-    minion said so. `UNSURE`: the start got no answer, or the run is missing
-    from a look. `STOPPED`: a stop was answered.
-    """
-
-    FRESH = "fresh"
-    INHERITED = "inherited"
-    ORDERED = "ordered"
-    RUNNING = "running"
-    UNSURE = "unsure"
-    STOPPED = "stopped"
-
-
-@dataclass(slots=True)
-class RunView:
-    """One run as its agent sees it.
-
-    `answered_at`
-        When the last order for it was answered or given up; a look that was
-        sent earlier says nothing about its absence.
-    `percent`
-        The pace that was last ordered.
-    `row`
-        The last row of a look, or None.
-    """
-
-    run: object
-    status: RunViewStatus
-    answered_at: float = 0.0
-    is_ordering: bool = False
-    percent: int = 100
-    row: object = None
-    row_since: float = 0.0
-
-
 class Agent:
     """Brings one life of a minion to what the log records.
 
@@ -117,19 +65,16 @@
         self.session = session
         self.view_by_task = {}
         self.wake = Event()
-        self.look_wake = Event()
         self.orders = BoundedSemaphore(ORDERS_AT_ONCE)
-        self.ends_taken = 0
-        self.ends_told = 0
         self.clock_offset_ms = None
         self.lease_over_at = session.started_at + session.lease_until_over_seconds
-        self.looked_at = 0.0
-        self.answered_at = 0.0
+        self.answer_time = AnswerTime()
         self.heard_at = 0.0
         self.beat_at = 0.0
         self.aside_until = 0.0
         self.filler_percent = 100
         self.health = MinionHealth()
+        self.looks = LookDesk(self)
         self.is_gone = False
         self.is_silent = False
         self.greenlets = set()
@@ -140,7 +85,7 @@
         """Start the greenlets of this agent."""
         self.greenlets = [
             gevent.spawn(self.give_orders),
-            gevent.spawn(self.keep_looking),
+            gevent.spawn(self.looks.run),
         ]
 
     def spawn(self, function, *arguments):
@@ -192,7 +137,7 @@
             self.adopt_records()
             for view in list(self.view_by_task.values()):
                 self.order_if_due(view)
-            self.look_wake.set()
+            self.looks.wake.set()
             self.wake.wait(self.next_check_seconds())
             self.wake.clear()
 
@@ -220,7 +165,10 @@
         settled = (RunViewStatus.INHERITED, RunViewStatus.STOPPED)
         if view.is_ordering or view.status in settled:
             return
-        if view.status is RunViewStatus.UNSURE and self.looked_at <= view.answered_at:
+        if (
+            view.status is RunViewStatus.UNSURE
+            and self.looks.looked_at <= view.answered_at
+        ):
             return
         wanted = self.session.is_wanted(view.run)
         if view.status is RunViewStatus.FRESH:
@@ -256,7 +204,7 @@
             return
         view.status = RunViewStatus.ORDERED
         self.extend_lease()
-        reply = self.client.start(order, ANSWER_SECONDS)
+        reply = self.ask_start(view, order)
         self.note_reply(reply)
         self.session.note_order("start", view.run, reply)
         if view.status is not RunViewStatus.ORDERED:
@@ -267,26 +215,68 @@
         elif reply.kind in (ReplyKind.UNSURE, ReplyKind.RUN_TOO_OLD):
             view.status = RunViewStatus.UNSURE
             view.answered_at = lease_seconds()
+            self.looks.settle_soon()
         elif reply.kind is not ReplyKind.OTHER_LIFE:
             self.set_aside()
             self.end(view, RunResult.REFUSED)
 
+    def ask_start(self, view, order):
+        """Order a start, and once more beside it if its answer takes too long.
+
+        A minion starts a run number once, however often it is ordered, so the
+        second order is the first one again. It protects the job from an order
+        whose answer gets lost, or that is carried out late.
+        """
+        first = gevent.spawn(self.timed, self.client.start, order)
+        calls = [first]
+        try:
+            first.join(self.answer_time.limit_seconds)
+            if first.ready() and first.get().kind is not ReplyKind.UNSURE:
+                return first.get()
+            if not self.may_repeat(view):
+                return first.get()
+            calls.append(gevent.spawn(self.timed, self.client.start, order))
+            for call in gevent.iwait(calls):
+                if call.get().kind in SETTLING_KINDS:
+                    return call.get()
+            return Reply(ReplyKind.UNSURE, detail="ordered twice, no answer")
+        finally:
+            gevent.killall(calls, block=False)
+
+    def may_repeat(self, view):
+        """Whether the start of a run may still be ordered."""
+        return (
+            view.status is RunViewStatus.ORDERED
+            and self.session.may_order()
+            and self.session.is_wanted(view.run)
+            and not self.minion.is_draining
+        )
+
+    def timed(self, call, order):
+        """Give an order; learn from its answer how long answers take."""
+        sent_at = lease_seconds()
+        reply = call(order, ANSWER_SECONDS)
+        if reply.kind not in (ReplyKind.UNSURE, ReplyKind.NOT_SENT):
+            self.answer_time.note(lease_seconds() - sent_at)
+        return reply
+
     def order_stop(self, view):
         """Order the stop of a run."""
         order = StopOrder(view.run.task, view.run.number, self.session.fence)
-        reply = self.client.stop(order, ANSWER_SECONDS)
+        reply = self.timed(self.client.stop, order)
         self.note_reply(reply)
         self.session.note_order("stop", view.run, reply)
         if reply.kind in (ReplyKind.DONE, ReplyKind.RUN_TOO_OLD):
             view.status = RunViewStatus.STOPPED
             view.answered_at = lease_seconds()
+            self.looks.settle_soon()
         else:
             gevent.sleep(RETRY_SECONDS)
 
     def order_pace(self, view, percent):
         """Order the pace of a run; a lost order is given again by a later look."""
         order = PaceOrder(view.run.task, view.run.number, percent, self.session.fence)
-        reply = self.client.pace(order, ANSWER_SECONDS)
+        reply = self.timed(self.client.pace, order)
         self.note_reply(reply)
         if reply.kind is ReplyKind.DONE:
             view.percent = percent
@@ -302,7 +292,7 @@
         """Learn from any answer of the minion."""
         if reply.kind in (ReplyKind.UNSURE, ReplyKind.NOT_SENT):
             self.is_silent = True
-            self.look_wake.set()
+            self.looks.wake.set()
             return
         self.is_silent = False
         self.heard_at = lease_seconds()
@@ -332,130 +322,3 @@
         """Note that a call on its way may extend the lease."""
         until = lease_seconds() + self.session.lease_until_over_seconds
         self.lease_over_at = max(self.lease_over_at, until)
-
-    # Looks.
-
-    def keep_looking(self):
-        """Look as long as anything runs, or ended without being recorded."""
-        while not self.is_gone:
-            if not self.needs_look():
-                self.look_wake.clear()
-                self.look_wake.wait()
-                continue
-            if not self.session.may_order():
-                gevent.sleep(UNCONFIRMED_SECONDS)
-                continue
-            self.look_once()
-
-    def needs_look(self):
-        """Whether something is to be learnt or told by a look."""
-        if self.ends_told < self.ends_taken or self.clock_offset_ms is None:
-            return True
-        if self.is_silent:
-            return True
-        return any(
-            view.status not in (RunViewStatus.FRESH, RunViewStatus.ORDERED)
-            for view in self.view_by_task.values()
-        )
-
-    def wait_ms(self):
-        """Return how long the next look may wait at the minion."""
-        if not self.view_by_task:
-            return 0
-        statuses = {view.status for view in self.view_by_task.values()}
-        if statuses & {RunViewStatus.INHERITED, RunViewStatus.UNSURE}:
-            return 0
-        if RunViewStatus.STOPPED in statuses:
-            return STOPPING_LOOK_MS
-        return self.session.watch.look_wait_ms(self)
-
-    def look_once(self):
-        """Look, and take what the minion says."""
-        sent_at = lease_seconds()
-        wait_ms = self.wait_ms()
-        taken = self.ends_taken
-        until = None
-        # Each renewal may arrive, so each puts off the end of the lease: a
-        # minion that has fallen silent gets none until it answers again.
-        if self.clock_offset_ms is not None and not self.is_silent:
-            until = self.lease_until_ms()
-            self.extend_lease()
-        order = LookOrder(self.session.fence, taken, until, wait_ms)
-        look = self.client.look(order, wait_ms / 1000 + ANSWER_SECONDS)
-        self.note_reply(look.reply)
-        if look.reply.kind is not ReplyKind.DONE:
-            self.give_up_if_lapsed()
-            idle = not self.view_by_task
-            gevent.sleep(IDLE_RETRY_SECONDS if idle else RETRY_SECONDS)
-            return
-        self.looked_at = sent_at
-        self.ends_told = max(self.ends_told, taken)
-        self.take_rows(look.running, sent_at)
-        self.take_ends(look.ended)
-        self.end_missing(look.running, sent_at)
-        self.wake.set()
-        if wait_ms == 0:
-            gevent.sleep(self.session.look_pause_seconds)
-
-    def take_rows(self, rows, now):
-        """Learn what runs; what should not run is stopped."""
-        for row in rows:
-            view = self.view_by_task.get(row.task)
-            if view is None or view.run.number != row.number:
-                self.session.note_stranger(self, row)
-                continue
-            if view.row is None or view.row.percent != row.percent:
-                view.row_since = now
-            view.row = row
-            if view.status in (RunViewStatus.INHERITED, RunViewStatus.UNSURE):
-                view.status = RunViewStatus.RUNNING
-                view.answered_at = now
-        self.session.watch.note_rows(self)
-
-    def take_ends(self, ended):
-        """Record the ends of a look, then remember that they are recorded."""
-        if not ended:
-            return
-        ends = tuple(
-            RunEnd(one.task, one.number, self.minion.id, one.result, one.checkpoint)
-            for one in ended
-        )
-        known = tuple(end for end in ends if self.is_recorded(end))
-        self.session.watch.note_ends(self, known)
-        if not known or self.session.end_runs(known):
-            self.ends_taken = max(self.ends_taken, *(one.sequence for one in ended))
-
-    def is_recorded(self, end):
-        """Whether the log holds the run of `end` as going on."""
-        run = self.session.runs_of(self.minion.id).get(end.task)
-        return run is not None and run.number == end.number
-
-    def end_missing(self, rows, sent_at):
-        """Settle the runs that a look does not show."""
-        shown = {(row.task, row.number) for row in rows}
-        for view in list(self.view_by_task.values()):
-            if (view.run.task, view.run.number) in shown:
-                continue
-            if not self.is_recorded(view.run):
-                continue
-            if view.status is RunViewStatus.STOPPED and sent_at > view.answered_at:
-                self.end(view, RunResult.LOST, view.row.checkpoint if view.row else "")
-            elif view.status is RunViewStatus.INHERITED:
-                view.status = RunViewStatus.UNSURE
-            elif view.status is RunViewStatus.RUNNING and sent_at > view.answered_at:
-                view.status = RunViewStatus.UNSURE
-
-    def give_up_if_lapsed(self):
-        """End everything here once the lease has surely run out."""
-        if lease_seconds() < self.lease_over_at:
-            return
-        ends = []
-        for view in self.view_by_task.values():
-            if view.status is RunViewStatus.FRESH or view.is_ordering:
-                continue
-            run = view.run
-            saved = view.row.checkpoint if view.row else ""
-            ends.append(RunEnd(run.task, run.number, run.minion, RunResult.LOST, saved))
-        if ends:
-            log_event("minion_lapsed", minion=self.minion.id, runs=len(ends))
-            self.session.end_runs(tuple(ends))
--- /dev/null
+++ b/hingepitch/jobs/runview.py
@@ -0,0 +1,59 @@
+"""
+hingepitch.jobs.runview
+~~~~~~~~~~~~~~~~~~~~~~~
+
+One run as the leader's side of its minion sees it.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["UNSEEN_STATUSES", "RunView", "RunViewStatus"]
+
+
+class RunViewStatus(enum.Enum):
+    """What the agent knows of a run.
+
+    `FRESH`: recorded by this leader, never ordered. `INHERITED`: recorded by
+    an earlier leader. `ORDERED`: the start is on its way. `RUNNING`: the
+    minion said so. `UNSURE`: the start got no answer, or the run is missing
+    from a look. `STOPPED`: a stop was answered.
+    """
+
+    FRESH = "fresh"
+    INHERITED = "inherited"
+    ORDERED = "ordered"
+    RUNNING = "running"
+    UNSURE = "unsure"
+    STOPPED = "stopped"
+
+
+#: A run in one of these goes on if a look shows it.
+UNSEEN_STATUSES = frozenset(
+    (RunViewStatus.INHERITED, RunViewStatus.ORDERED, RunViewStatus.UNSURE)
+)
+
+
+@dataclass(slots=True)
+class RunView:
+    """One run as its agent sees it.
+
+    `answered_at`
+        When the last order for it was answered or given up; a look that was
+        sent earlier says nothing about its absence.
+    `percent`
+        The pace that was last ordered.
+    `row`
+        The last row of a look, or None.
+    """
+
+    run: object
+    status: RunViewStatus
+    answered_at: float = 0.0
+    is_ordering: bool = False
+    percent: int = 100
+    row: object = None
+    row_since: float = 0.0
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -15,7 +15,7 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
-from hingepitch.jobs.agent import Agent, RunViewStatus
+from hingepitch.jobs.agent import Agent
 from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
 from hingepitch.jobs.contact import StartOrder
 from hingepitch.jobs.duration import Durations
@@ -26,6 +26,7 @@
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.pool import PoolTerms
 from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.spec import format_task
 from hingepitch.jobs.upkeep import UpkeepDesk
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -10,10 +10,10 @@
 """
 
 from hingepitch.clock import lease_seconds
-from hingepitch.jobs.agent import RunViewStatus
 from hingepitch.jobs.health import is_hung
 from hingepitch.jobs.pace import Neighbour, next_percent
 from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.spec import format_task
 from hingepitch.log import log_event
 
@@ -112,7 +112,7 @@
                 continue
             if step.fills_spare_cpu:
                 continue
-            if not is_hung(view.row_since, agent.looked_at, step.gang):
+            if not is_hung(view.row_since, agent.looks.looked_at, step.gang):
                 continue
             if self.session.is_wanted(view.run):
                 agent.health.note_trouble(view.run.task.job, lease_seconds())
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -275,6 +275,37 @@
         ),
         "without_an_answer_is_settled",
     ),
+    Fault(
+        "jobs",
+        "the refusal of one of two orders is taken for both",
+        (
+            (
+                "jobs/agent.py",
+                "if call.get().kind in SETTLING_KINDS:",
+                "if call.get().kind is not ReplyKind.UNSURE:",
+            ),
+        ),
+        "refusal_of_the_second_order",
+    ),
+    Fault(
+        "jobs",
+        "a start is ordered again though its job was cancelled",
+        (
+            (
+                "jobs/agent.py",
+                "            and self.session.is_wanted(view.run)\n"
+                "            and not self.minion.is_draining",
+                "",
+            ),
+        ),
+        "not_ordered_again",
+    ),
+    Fault(
+        "jobs",
+        "a look that was sent earlier overrules a later one",
+        (("jobs/look.py", "is_news = sent_at >= self.looked_at", "is_news = True"),),
+        "sent_earlier_tells_ends_only",
+    ),
     Fault(
         "jobs",
         "a new leader trusts every recorded run",
@@ -285,7 +316,7 @@
                 "return RunViewStatus.RUNNING",
             ),
             (
-                "jobs/agent.py",
+                "jobs/look.py",
                 "elif view.status is RunViewStatus.RUNNING and sent_at > "
                 "view.answered_at:",
                 "elif False:",
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -60,7 +60,7 @@
 class Rig:
     """A dispatcher and its stand-in minions."""
 
-    def __init__(self, *minions, terms=TERMS):
+    def __init__(self, *minions, terms=TERMS, connect=HttpMinion):
         self.log = Log()
         self.log.send(commands.PutQueues(make_config()))
         self.minions = minions
@@ -69,9 +69,7 @@
             self.register(number, minion)
         self.replica = OneReplica(self.log)
         self.roster = MinionRoster()
-        self.dispatcher = Dispatcher(
-            self.replica, self.roster, HttpMinion, terms, "test"
-        )
+        self.dispatcher = Dispatcher(self.replica, self.roster, connect, terms, "test")
         self.greenlet = gevent.spawn(self.dispatcher.run)
 
     def register(self, number, minion):
@@ -150,7 +148,7 @@
     assert wait_until(lambda: here.dispatcher.session is not None, SECONDS)
     assert wait_until(lambda: here.dispatcher.session.agent_by_minion, SECONDS)
     agent = here.dispatcher.session.agent_by_minion[minion.life]
-    assert wait_until(lambda: not agent.needs_look(), SECONDS)
+    assert wait_until(lambda: not agent.looks.is_needed(), SECONDS)
     minion.faults.looks.append("dropped")
     here.submit(Step(1))
     here.wait_status(JobStatus.SUCCEEDED, 2.2)
