--- a/standin/faults.py
+++ b/standin/faults.py
@@ -318,8 +318,8 @@
         (
             (
                 "control/writer.py",
-                "ahead, self.waiting = self.waiting, []",
-                "ahead = []",
+                "self.storage.write(vote, [*ahead, *entries])",
+                "self.storage.write(vote, entries)",
             ),
         ),
         "acknowledges_only_what_its_disk_has",
