Tests of lost answers wait until the late orders were carried out

Cause: three of them slept for 1.4 s to let late orders arrive, which is a guess at the load of the machine. Ruled out: waiting for the job alone, since the late order comes after its end. Change: the minion in memory counts the late orders that it carried out, and the tests wait for that count.

--- a/tests/memory_minion.py
+++ b/tests/memory_minion.py
@@ -35,6 +35,7 @@
         self.look_faults = []
         self.orders = []
         self.begun = []
+        self.carried_out_late = 0
         self.running = {}
         self.barred = {}
         self.ended = []
@@ -58,7 +59,7 @@
         if isinstance(fault, ReplyKind):
             return self.reply(fault)
         if fault == "late":
-            gevent.spawn_later(self.late_seconds, self.begin, order)
+            gevent.spawn_later(self.late_seconds, self.carry_out_late, order)
         elif fault == "lost":
             self.begin(order)
         if fault is not None:
@@ -86,6 +87,10 @@
 
     # What a minion does.
 
+    def carry_out_late(self, order):
+        self.begin(order)
+        self.carried_out_late += 1
+
     def begin(self, order):
         if self.running.get(order.task) == order.number:
             return ReplyKind.DONE
--- a/tests/test_load_lost_answers.py
+++ b/tests/test_load_lost_answers.py
@@ -9,7 +9,6 @@
 from collections import Counter
 from dataclasses import replace
 
-import gevent
 import pytest
 
 from hingepitch.httpd import wait_until
@@ -56,6 +55,11 @@
     return [entry for minion in minions for entry in minion.begun]
 
 
+def late_orders(*minions):
+    """Return how many orders were carried out late."""
+    return sum(minion.carried_out_late for minion in minions)
+
+
 def test_a_wide_step_is_hardly_later_though_orders_get_no_answer(rig):
     minions = [MemoryMinion(task_seconds=0.4) for _ in range(3)]
     for minion in minions:
@@ -66,7 +70,9 @@
     moments = [at for _, _, at in begun(*minions)]
     assert max(moments) - min(moments) < 2 * AGAIN_SECONDS
     here.wait_status(JobStatus.SUCCEEDED, 2.0)
-    gevent.sleep(1.4)
+    met = 6 - sum(minion.start_faults.count("late") for minion in minions)
+    assert met >= 4
+    assert wait_until(lambda: late_orders(*minions) == met, SECONDS)
     counts = Counter(key for key, _, _ in begun(*minions))
     assert len(counts) == 13 and set(counts.values()) == {1}
 
@@ -78,7 +84,7 @@
     here = rig(minion)
     here.submit(Step(1))
     here.wait_status(JobStatus.SUCCEEDED)
-    gevent.sleep(1.4)
+    assert wait_until(lambda: late_orders(minion) == (fault == "late"), SECONDS)
     assert [(order.task, order.number) for order in minion.orders] == [(task(), 1)] * 2
     assert len(minion.begun) == 1
 
@@ -103,7 +109,7 @@
     assert wait_until(lambda: minion.orders, SECONDS)
     here.cancel()
     assert wait_until(lambda: not here.log.table.run_by_task, SECONDS)
-    gevent.sleep(1.4)
+    assert wait_until(lambda: late_orders(minion) == 1, SECONDS)
     assert len(minion.orders) == 1
     assert not minion.begun
 
