A replica that lost its disk no longer hides the leader; what a scenario watches was seen once

Cause of the hidden leader (known red until now): an answer without a hint set the count of hints back to 0, so a leader that the settings do not name was not asked while a named replica had lost its disk. Ruled out: counting every miss from the start, since an entry then left the relays of two scenarios (test_scenarios, seen red). Change: the last hint and the misses since it are kept until a leader is found.

Shown by a run with the first read put off by 0.5 s: red before, green now. The watching step waits until each observer has seen something.

--- a/hingepitch/group.py
+++ b/hingepitch/group.py
@@ -44,6 +44,10 @@
         Longest wait for one answer of one replica.
     `connections`
         Calls at once to each replica.
+    `hint`, `misses`
+        The last address that a replica gave for the leader, and how many
+        calls have missed the leader since the first such hint. Both are
+        forgotten once a leader is found or a hint was followed.
     `lost_at`
         Since when no leader has answered, or None while one does.
     """
@@ -58,6 +62,7 @@
         self.turn = 0
         self.preferred = self.addresses[0]
         self.misses = 0
+        self.hint = ""
         self.lost_at = None
 
     def set_addresses(self, addresses):
@@ -100,7 +105,8 @@
             raise
 
     def note_leader(self, address):
-        """Log that the leader answers again."""
+        """Forget the search for the leader; log that it answers again."""
+        self.forget_misses()
         if self.lost_at is None:
             return
         seconds = round(lease_seconds() - self.lost_at, 3)
@@ -116,19 +122,29 @@
     def prefer_another(self, address, leader):
         """Ask the leader next time, or the next replica.
 
-        A leader at an address that the settings do not name is asked only
-        after all the named ones.
+        A leader at an address that the settings do not name is asked after all
+        the named ones, whoever told of it: a replica that lost its disk does
+        not know where one is, and must not make the others forgotten. Callers
+        were refused for 2.3 s until such a replica had joined again.
         """
         if self.preferred != address:
             return
         known = self.addresses
-        self.misses = self.misses + 1 if leader else 0
-        if leader in known or (leader and self.misses > len(known)):
+        self.hint = leader or self.hint
+        self.misses += bool(self.hint)
+        if leader in known:
             self.preferred = leader
-            self.misses = 0
-            return
-        position = known.index(address) if address in known else -1
-        self.preferred = known[(position + 1) % len(known)]
+        elif self.hint and self.misses > len(known):
+            self.preferred = self.hint
+            self.forget_misses()
+        else:
+            position = known.index(address) if address in known else -1
+            self.preferred = known[(position + 1) % len(known)]
+
+    def forget_misses(self):
+        """Begin the search for a leader anew."""
+        self.misses = 0
+        self.hint = ""
 
     def call(self, method, *arguments, seconds=10.0):
         """Call the leader; try again while the refusal may pass.
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -200,7 +200,13 @@
             )
 
     def observe(self, read, check):
-        self.observers.append(Observer(read, check))
+        """Watch until the end; return once something was seen.
+
+        What is watched may be killed in the next step.
+        """
+        observer = Observer(read, check)
+        self.observers.append(observer)
+        wait_for(lambda: observer.seen, what="a first look")
 
     def http_of_replicas(self):
         return [self.cluster.http_by_name[name] for name in self.cluster.replica_names]
