--- a/standin/faults.py
+++ b/standin/faults.py
@@ -436,7 +436,13 @@
     Fault(
         "config",
         "an answer without a hint makes the leader forgotten",
-        (("group.py", "self.hint = leader or self.hint", "self.hint = leader"),),
+        (
+            (
+                "group.py",
+                "self.misses += bool(self.hint)",
+                "self.misses = self.misses + 1 if leader else 0",
+            ),
+        ),
         "lost_its_disk_does_not_hide_the_leader",
     ),
 )
