A test of refused moves waits for decisions in place of a fixed time

Cause: it slept 0.8 s to see that a refused pair of kind and pool is not tried again; on a slow machine that is fewer decisions. Ruled out: the other sleeps, which show that nothing happens while time passes.

--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -1,6 +1,5 @@
 """Moves of VMs by a session: what waits gets room, what runs stays."""
 
-import gevent
 import pytest
 
 from hingepitch.clock import lease_seconds
@@ -179,10 +178,10 @@
 def test_a_refused_pair_of_kind_and_pool_is_not_tried_again(rig):
     api = FleetApi({"vm-8": "off", "vm-9": "off"})
     api.replies = [FleetReply.UNKNOWN_VM] * 5
-    move_by(rig, api)
+    desk = move_by(rig, api)
     rig.submit(Step(3, cpu_millicores=9000, lasts=True))
     assert wait_until(lambda: api.moves, SECONDS)
-    gevent.sleep(0.8)
+    wait_decisions(desk)
     assert len([vm for vm, pool, _ in api.moves if pool == "pool"]) <= 2
 
 
