Sight: counters before histograms, and what a leader makes of its minions and runs

The leader's figures began with the buckets of commit_seconds, so none of its counters of ends, and no figure at all on silent minions or runs in doubt, was left; its 47 KB of lines cover less than a second of a busy time. The hypotheses on lapsed leases, on orders without an answer and on waiting lasting tasks cannot be told apart.

Change: counters and gauges are rendered first; a leader shows once a second its minions by state, its runs by status and the tasks that wait. No logic is changed.

--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -8,11 +8,19 @@
 :license: BSD, see LICENSE for details.
 """
 
+from collections import Counter
+
 from hingepitch.jobs.contact import ReplyKind
+from hingepitch.jobs.record import TaskStatus
+from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.service import wall_ms
 
 __all__ = ["DispatchGauge"]
 
+#: What a leader makes of a minion, the worst that fits: does not answer, fails
+#: what it runs, or may not be used for another reason.
+MINION_STATES = ("silent", "sick", "unused", "usable")
+
 
 class DispatchGauge:
     """Counters and latency histograms of one leadership.
@@ -56,7 +64,48 @@
             if job is not None and not job.is_open and job.ended_ms == at_ms:
                 self.observe_since("job_seconds", job, at_ms, status=job.status.value)
 
+    def note_minions(self, agents, now):
+        """Show how many minions are in which state, and runs in which status.
+
+        `now`
+            On `lease_seconds`.
+        """
+        states = Counter(minion_state(agent, now) for agent in agents)
+        for state in MINION_STATES:
+            self.metrics.set("minions", "Minions by state.", states[state], state=state)
+        views = (view for agent in agents for view in agent.view_by_task.values())
+        statuses = Counter(view.status for view in views)
+        for status in RunViewStatus:
+            self.metrics.set(
+                "runs", "Runs by status.", statuses[status], status=status.value
+            )
+
+    def note_waiting(self, table):
+        """Show how many tasks wait whose turn has come, by whether they last."""
+        waiting = Counter()
+        for job_id, round_number, number in table.ready_steps:
+            job = table.job_by_id[job_id]
+            tasks = job.round_by_number[round_number].tasks_by_step[number]
+            count = sum(task.status is TaskStatus.WAITING for task in tasks)
+            waiting[job.spec.steps[number].lasts] += count
+        for lasts in (False, True):
+            self.metrics.set(
+                "tasks_waiting",
+                "Tasks whose turn has come.",
+                waiting[lasts],
+                lasting=str(lasts).lower(),
+            )
+
     def observe_since(self, name, job, at_ms, **labels):
         """Time a job from its acceptance until `at_ms` since the epoch."""
         seconds = (at_ms - job.accepted_ms) / 1000
         self.metrics.observe(name, "From acceptance.", seconds, **labels)
+
+
+def minion_state(agent, now):
+    """Return which of `MINION_STATES` the minion of `agent` is in."""
+    if agent.is_silent:
+        return "silent"
+    if agent.health.is_sick(now):
+        return "sick"
+    return "usable" if agent.may_start(now) else "unused"
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -366,6 +366,8 @@
         """Log the load of each pool, now and then."""
         while True:
             gevent.sleep(LOAD_SECONDS)
+            self.gauge.note_minions(self.agent_by_minion.values(), lease_seconds())
+            self.gauge.note_waiting(self.table)
             for pool, load in self.measure_pools().items():
                 log_event(
                     "pool_load",
--- a/hingepitch/metric.py
+++ b/hingepitch/metric.py
@@ -38,10 +38,15 @@
 
     `program`
         Label on every metric.
+    `registry`, `histograms`
+        Counters and gauges, which are rendered first, and histograms. Readers
+        that keep only the beginning of the text (4 KB were seen) lost every
+        counter of a leader behind the buckets of one histogram.
     """
 
     def __init__(self, program):
         self.registry = Registry()
+        self.histograms = Registry()
         self.labels = {"program": program}
         self.metric_by_name = {}
         self.started = time.monotonic()
@@ -54,7 +59,7 @@
                 f"hingepitch_{name}",
                 doc,
                 const_labels=self.labels,
-                registry=self.registry,
+                registry=self.histograms if kind is Histogram else self.registry,
                 **options,
             )
             self.metric_by_name[name] = metric
@@ -80,4 +85,5 @@
         self.set("resident_bytes_max", "Largest resident set.", usage.ru_maxrss * 1024)
         self.set("up_seconds", "Time since the start.", time.monotonic() - self.started)
         content, headers = render(self.registry, ACCEPTS)
-        return content, headers["Content-Type"]
+        histograms, _ = render(self.histograms, ACCEPTS)
+        return content + histograms, headers["Content-Type"]
