A process that no longer leads shows no minions, runs or waiting tasks

The figures of a leadership stayed as they were when it ended, so a reader of all replicas saw each minion several times. Test: tests/test_metric.py.

--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -88,6 +88,10 @@
             tasks = job.round_by_number[round_number].tasks_by_step[number]
             count = sum(task.status is TaskStatus.WAITING for task in tasks)
             waiting[job.spec.steps[number].lasts] += count
+        self.show_waiting(waiting)
+
+    def show_waiting(self, waiting):
+        """Show the tasks that wait; `waiting`: count by whether they last."""
         for lasts in (False, True):
             self.metrics.set(
                 "tasks_waiting",
@@ -96,6 +100,11 @@
                 lasting=str(lasts).lower(),
             )
 
+    def show_nothing(self):
+        """Show that this process does not lead: others make the decisions now."""
+        self.note_minions((), 0.0)
+        self.show_waiting(Counter())
+
     def observe_since(self, name, job, at_ms, **labels):
         """Time a job from its acceptance until `at_ms` since the epoch."""
         seconds = (at_ms - job.accepted_ms) / 1000
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -318,6 +318,7 @@
             gevent.killall(list(self.greenlets), block=False)
             for agent in self.agent_by_minion.values():
                 agent.client.close()
+            self.gauge.show_nothing()
 
     def spawn(self, function, *arguments):
         """Run a function for as long as the session lasts; return the greenlet.
--- a/tests/test_metric.py
+++ b/tests/test_metric.py
@@ -68,3 +68,11 @@
     text = rendered(metrics)
     assert 'hingepitch_tasks_waiting{lasting="true",program="test"} 2' in text
     assert 'hingepitch_tasks_waiting{lasting="false",program="test"} 0' in text
+
+
+def test_a_process_that_no_longer_leads_shows_no_minions():
+    metrics = Metrics("test")
+    gauge = DispatchGauge(metrics, None)
+    gauge.note_minions([agent(is_silent=True)], 0.0)
+    gauge.show_nothing()
+    assert 'hingepitch_minions{program="test",state="silent"} 0' in rendered(metrics)
