The members of a group by the log are a class of their own

Now `MemberHistory` in control/membership.py; no behaviour is changed. Tests of consensus, group, healing, storage and the slow disk pass.

--- a/hingepitch/control/consensus.py
+++ b/hingepitch/control/consensus.py
@@ -14,8 +14,11 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
-import msgspec
-
+from hingepitch.control.membership import (
+    MemberHistory,
+    decode_members,
+    encode_members,
+)
 from hingepitch.control.memlog import MemoryLog
 from hingepitch.control.message import (
     Append,
@@ -24,7 +27,6 @@
     Entry,
     EntryKind,
     Install,
-    Member,
     Message,
     MessageKind,
     Propose,
@@ -42,7 +44,7 @@
     Transfer,
 )
 
-__all__ = ["Consensus", "decode_members", "encode_members"]
+__all__ = ["Consensus"]
 
 #: Ticks without a leader before an election; drawn anew each time.
 ELECTION_TICKS = (6, 12)
@@ -71,16 +73,6 @@
 LEADER = "leader"
 
 
-def encode_members(members):
-    """Return the bytes of a tuple of `Member`."""
-    return msgspec.msgpack.encode(members)
-
-
-def decode_members(data):
-    """Return the tuple of `Member` of `data`."""
-    return msgspec.msgpack.decode(data, type=tuple[Member, ...])
-
-
 @dataclass(slots=True)
 class Progress:
     """What a leader knows of one follower.
@@ -133,10 +125,10 @@
         )
         self.commit_index = recovered.snapshot_index
         self.durable_index = self.log.last_index
-        self.members_history = [(recovered.snapshot_index, recovered.members)]
+        self.role = FOLLOWER
+        self.membership = MemberHistory(recovered.snapshot_index, recovered.members)
         for entry in recovered.entries:
             self.note_members(entry)
-        self.role = FOLLOWER
         self.leader = ""
         self.has_heard_leader = False
         self.votes = {}
@@ -159,24 +151,21 @@
     @property
     def members(self):
         """The members in force, by the last entry that changed them."""
-        return self.members_history[-1][1]
+        return self.membership.members
 
     @property
     def voters(self):
         """The identities that vote."""
-        return [member.identity for member in self.members if member.voter]
+        return self.membership.voters
 
     def compact(self, index):
         """Forget the log up to `index`, which a snapshot covers."""
         self.log.compact(min(index, self.commit_index))
-        while len(self.members_history) > 1 and self.members_history[1][0] <= index:
-            del self.members_history[0]
+        self.membership.compact(index)
 
     def members_at(self, index):
         """Return the members in force at `index`."""
-        return next(
-            members for at, members in reversed(self.members_history) if at <= index
-        )
+        return self.membership.at(index)
 
     # Events.
 
@@ -464,9 +453,7 @@
 
     def append(self, entries, is_ahead=False):
         """Add entries to the log, in memory and on disk."""
-        first = entries[0].index
-        while self.members_history[-1][0] >= first and len(self.members_history) > 1:
-            self.members_history.pop()
+        self.membership.cut(entries[0].index)
         self.log.append(entries)
         for entry in entries:
             self.note_members(entry)
@@ -477,8 +464,8 @@
         if entry.kind is not EntryKind.MEMBERS:
             return
         members = decode_members(entry.payload)
-        self.members_history.append((entry.index, members))
-        if getattr(self, "role", FOLLOWER) == LEADER:
+        self.membership.add(entry.index, members)
+        if self.role == LEADER:
             self.track_members(members)
 
     def track_members(self, members):
@@ -491,7 +478,7 @@
 
     def members_fault(self, members):
         """Return why the members may not change so, or an empty string."""
-        if self.members_history[-1][0] > self.commit_index:
+        if self.membership.changed_at > self.commit_index:
             return "queue_full"
         if not self.has_committed_in_term():
             return "not_leader"
@@ -601,8 +588,8 @@
 
     def retire_if_removed(self):
         """Step down once the removal of this replica is committed."""
-        at, _ = self.members_history[-1]
-        if at <= self.commit_index and self.identity not in self.voters:
+        is_committed = self.membership.changed_at <= self.commit_index
+        if is_committed and self.identity not in self.voters:
             self.broadcast()
             self.become_follower(self.term, "")
 
@@ -691,7 +678,7 @@
             self.log.reset(message.index, message.log_term)
             self.commit_index = message.index
             members = decode_members(message.entries[0].payload)
-            self.members_history = [(message.index, members)]
+            self.membership = MemberHistory(message.index, members)
             self.do(Install(message.index, message.log_term, message.snapshot))
         self.answer_append(message, granted=True, index=self.commit_index)
 
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -18,7 +18,8 @@
 from hingepitch.clock import lease_seconds, wall_seconds
 from hingepitch.control.admission import Admission, Waiting
 from hingepitch.control.audit import AuditRecord
-from hingepitch.control.consensus import Consensus, encode_members
+from hingepitch.control.consensus import Consensus
+from hingepitch.control.membership import encode_members
 from hingepitch.control.message import (
     Append,
     Commit,
--- a/tests/consensus_driver.py
+++ b/tests/consensus_driver.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from hingepitch.control.consensus import Consensus, encode_members
+from hingepitch.control.consensus import Consensus
+from hingepitch.control.membership import encode_members
 from hingepitch.control.message import (
     Append,
     Commit,
