A replica that waits for the whole state keeps its leader in office

With two of five disks lost the receiver may be one of the three that have to agree: the leader counted no quorum, stepped down after 0.6 s, and the next one sent the whole state to everyone again.

Before: steps down within ten ticks, the state sent twice in 30 ticks (both tests red). After: leads on for 30 ticks, the state sent once, at most one message a tick.

--- a/hingepitch/control/consensus.py
+++ b/hingepitch/control/consensus.py
@@ -40,6 +40,7 @@
     SaveVote,
     Send,
     SendSnapshot,
+    SnapshotLost,
     Tick,
     Transfer,
 )
@@ -60,6 +61,10 @@
 #: Ticks after which a snapshot that was not acknowledged is sent again.
 SNAPSHOT_RETRY_TICKS = 50
 
+#: The same for one that surely did not arrive. Source: the link to its receiver
+#: pauses for two ticks after a failure.
+LOST_SNAPSHOT_TICKS = 3
+
 #: Ticks for the answer to a probe. Source: two rounds of the leader.
 PROBE_TICKS = 4
 
@@ -229,6 +234,12 @@
         self.durable_index = max(self.durable_index, event.index)
         self.advance_commit()
 
+    @handle.register
+    def _(self, event: SnapshotLost):
+        progress = self.progress_by_identity.get(event.receiver)
+        if progress is not None and event.term == self.term:
+            progress.snapshot_ticks = min(progress.snapshot_ticks, LOST_SNAPSHOT_TICKS)
+
     @handle.register
     def _(self, event: Transfer):
         if self.role != LEADER:
@@ -512,15 +523,7 @@
         entries = ()
         if progress.probe_index is None:
             entries = tuple(self.limit_bytes(self.log.after(before, MAX_ENTRIES)))
-        self.send(
-            MessageKind.APPEND,
-            identity,
-            index=before,
-            log_term=log_term,
-            commit=self.commit_index,
-            sequence=self.sequence,
-            entries=entries,
-        )
+        self.send_round(identity, before, log_term, entries)
         progress.next_index += len(entries)
 
     def limit_bytes(self, entries):
@@ -533,12 +536,31 @@
             yield entry
 
     def send_snapshot(self, identity, progress):
-        """Ask the driver to send the snapshot, unless one is on its way."""
+        """Ask the driver to send the snapshot, unless one is on its way.
+
+        Meanwhile the receiver gets empty rounds, which it refuses: it keeps
+        hearing its leader, and its answers keep the leader in office. Without
+        them a leader that needed the receiver for its quorum stepped down
+        after `ELECTION_TICKS`, and the next one sent the whole state again.
+        """
         if progress.snapshot_ticks:
+            self.send_round(identity, self.log.start_index, self.log.start_term)
             return
         progress.snapshot_ticks = SNAPSHOT_RETRY_TICKS
         self.do(SendSnapshot(identity, self.term))
 
+    def send_round(self, identity, index, log_term, entries=()):
+        """Send one member the `entries` that follow `index`, or none."""
+        self.send(
+            MessageKind.APPEND,
+            identity,
+            index=index,
+            log_term=log_term,
+            commit=self.commit_index,
+            sequence=self.sequence,
+            entries=entries,
+        )
+
     def on_append_answer(self, message):
         """Learn what a follower has, and send it the rest."""
         progress = self.progress_by_identity.get(message.sender)
@@ -552,6 +574,9 @@
             progress.snapshot_ticks = 0
             progress.probe_index = None
             self.advance_commit()
+        elif progress.snapshot_ticks:
+            self.release_reads()
+            return
         elif not self.probe_lower(progress, message):
             return
         if progress.next_index <= self.log.last_index:
--- a/hingepitch/control/message.py
+++ b/hingepitch/control/message.py
@@ -33,6 +33,7 @@
     "SaveVote",
     "Send",
     "SendSnapshot",
+    "SnapshotLost",
     "Tick",
     "Transfer",
 ]
@@ -169,6 +170,14 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotLost:
+    """A snapshot sent to `receiver` in `term` surely did not arrive."""
+
+    receiver: str
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class Transfer:
     """Hand the leadership to the voter that is the least behind."""
--- a/hingepitch/control/peer.py
+++ b/hingepitch/control/peer.py
@@ -99,11 +99,14 @@
 
     `name`, `key`
         For the authentication.
+    `on_lost`
+        Function of a message that surely did not arrive; set by the replica.
     """
 
     def __init__(self, name, key):
         self.name = name
         self.key = key
+        self.on_lost = None
         self.link_by_address = {}
         self.messages_sent = 0
 
@@ -126,7 +129,7 @@
                 self.deliver(link, list(take_batch(link.messages)))
 
     def deliver(self, link, batch):
-        """Deliver one batch; on failure drop it and pause."""
+        """Deliver one batch; on failure drop it, and what waits, and pause."""
         try:
             link.client.call("deliver", [to_wire(message) for message in batch])
             self.messages_sent += len(batch)
@@ -138,5 +141,13 @@
                 address = link.client.address
                 log_event("peer_unreachable", address=address, error=error.detail)
             link.reachable = False
+            self.drop(batch if error.code == "peer_unreachable" else ())
+            self.drop(link.messages)
             link.messages.clear()
             gevent.sleep(PAUSE_AFTER_FAILURE_SECONDS)
+
+    def drop(self, messages):
+        """Tell of each of `messages` that it did not arrive."""
+        for message in messages:
+            if self.on_lost is not None:
+                self.on_lost(message)
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -40,6 +40,7 @@
     SaveVote,
     Send,
     SendSnapshot,
+    SnapshotLost,
     Tick,
     Transfer,
 )
@@ -109,6 +110,7 @@
         self.writer = LogWriter(storage, self.put)
         self.audit = audit
         self.links = links
+        self.links.on_lost = self.note_lost
         self.roster = roster
         self.address_of = address_of
         self.seed = seed
@@ -397,6 +399,15 @@
         if address is not None:
             self.links.send(address, message)
 
+    def note_lost(self, message):
+        """Have a snapshot that did not arrive sent again soon.
+
+        It is not waited for as long as for one that may be on its way: a group
+        in which its receiver is needed rests until then (5 s before).
+        """
+        if message.kind is MessageKind.SNAPSHOT:
+            self.put(SnapshotLost(message.receiver, message.term))
+
     def expect(self, action):
         """Remember who waits for the entry at an index."""
         self.waiter_by_index[action.index] = (action.term, action.token)
--- a/tests/test_snapshot_on_its_way.py
+++ b/tests/test_snapshot_on_its_way.py
@@ -16,17 +16,24 @@
     Entry,
     EntryKind,
     Member,
+    Message,
     MessageKind,
     Receive,
     Recovered,
     Send,
     SendSnapshot,
+    SnapshotLost,
     Tick,
 )
+from hingepitch.control.peer import Link, PeerLinks
+from hingepitch.error import HingepitchError
 
 #: How long a state of some megabytes may be on its way, in ticks.
 TICKS_ON_ITS_WAY = 30
 
+#: The round after the pause that follows a failure.
+TICKS_UNTIL_SENT_AGAIN = 6
+
 MEMBERS = tuple(Member(name, name, name, "h") for name in ("n0", "n1", "n2"))
 
 
@@ -81,6 +88,20 @@
     assert pair.snapshots == 1
 
 
+def test_a_state_that_surely_did_not_arrive_is_sent_again_soon(pair):
+    pair.step(pair.leader, SnapshotLost("n1", pair.leader.term))
+    for _ in range(TICKS_UNTIL_SENT_AGAIN):
+        pair.tick()
+    assert pair.snapshots == 2
+
+
+def test_a_state_that_an_earlier_leadership_lost_is_not_sent_again(pair):
+    pair.step(pair.leader, SnapshotLost("n1", pair.leader.term - 1))
+    for _ in range(TICKS_UNTIL_SENT_AGAIN):
+        pair.tick()
+    assert pair.snapshots == 1
+
+
 def test_a_replica_that_waits_for_the_state_costs_no_more_messages(pair):
     sent = []
     deliver = pair.deliver
@@ -90,3 +111,23 @@
     rounds = sent.count(MessageKind.APPEND)
     assert 0 < rounds <= TICKS_ON_ITS_WAY
     assert sent.count(MessageKind.APPEND_ANSWER) <= rounds
+
+
+class DeadReplica:
+    """A replica at which no call arrives."""
+
+    address = "127.0.0.1:1"
+
+    def call(self, method, *arguments):
+        raise HingepitchError("peer_unreachable", "refused")
+
+
+def test_a_link_tells_which_messages_surely_did_not_arrive():
+    links = PeerLinks("n0", "key")
+    lost = []
+    links.on_lost = lost.append
+    link = Link(DeadReplica())
+    sent = [Message(MessageKind.SNAPSHOT, "n0", "n1", term) for term in (1, 2)]
+    link.messages.append(sent[1])
+    links.deliver(link, sent[:1])
+    assert lost == sent
