Learning how long a run took does not need its round to be open

Cause: the first end of a gang closes its round, and with it the tasks that the other members' ends are looked up by. Ruled out for the other users of a task: they look it up only after checking that its round is open.

--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -259,12 +259,16 @@
         return True
 
     def note_duration(self, end, at_ms):
-        """Learn how long a task took that ran from its beginning to its end."""
+        """Learn how long a task took that ran from its beginning to its end.
+
+        The task of a gang's member is gone if another's end closed its round.
+        """
         run = self.table.run_by_task.get(end.task)
         step = run and self.step_of(run)
-        if end.result is not RunResult.DONE or step is None:
+        task = self.table.task(end.task)
+        if end.result is not RunResult.DONE or step is None or task is None:
             return
-        if run.number == end.number and not self.table.task(end.task).checkpoint:
+        if run.number == end.number and not task.checkpoint:
             queue = self.table.policy(self.table.job_by_id[end.task.job])
             self.durations.note(queue.place, step, at_ms - run.started_ms)
 
