What another writer sends names nothing to use, and the others hold

Cause: a heartbeat was taken whatever its state, service or address; one whose address cannot be called ended every session of every leader where the client for it is made, and with them all dispatching. A page of the list of VMs, an answer of a minion and a permission were lost as a whole for one strange entry.

Ruled out: that a bad heartbeat of a sound life must not be refused: its next one comes within 1.5 s.

--- a/hingepitch/jobs/contact.py
+++ b/hingepitch/jobs/contact.py
@@ -160,8 +160,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Look:
-    """The answer to a `LookOrder`; the lists are empty unless it is `DONE`."""
+    """The answer to a `LookOrder`; the lists are empty unless it is `DONE`.
+
+    `unread_running`, `unread_ended`
+        Rows that could not be read. With one of the first kind, a run that is
+        not shown may still go on.
+    """
 
     reply: Reply
     running: tuple[RunningRow, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    unread_running: int = 0
+    unread_ended: int = 0
--- a/hingepitch/jobs/fleet.py
+++ b/hingepitch/jobs/fleet.py
@@ -12,7 +12,7 @@
 import enum
 from dataclasses import dataclass
 
-__all__ = ["FleetReply", "VmRow", "VmState"]
+__all__ = ["FleetReply", "VmList", "VmRow", "VmState"]
 
 
 class FleetReply(enum.Enum):
@@ -58,3 +58,15 @@
     hall: str
     life: str
     kind: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class VmList:
+    """The platform's list of VMs.
+
+    `unread`
+        Entries that could not be read: a VM that is missing may be one of them.
+    """
+
+    rows: tuple[VmRow, ...]
+    unread: int = 0
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -64,6 +64,15 @@
             if job is not None and not job.is_open and job.ended_ms == at_ms:
                 self.observe_since("job_seconds", job, at_ms, status=job.status.value)
 
+    def note_unread(self, look):
+        """Count the rows of a look that could not be read."""
+        for kind, count in (
+            ("running", look.unread_running),
+            ("ended", look.unread_ended),
+        ):
+            if count:
+                self.metrics.count("rows_unread", "Unread rows.", count, kind=kind)
+
     def note_minions(self, agents, now):
         """Show how many minions are in which state, and runs in which status.
 
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -192,7 +192,8 @@
                 self.looked_at = sent_at
                 self.take_rows(look.running, sent_at)
             self.take_ends(look.ended)
-            if is_news:
+            self.agent.session.gauge.note_unread(look)
+            if is_news and not look.unread_running:
                 self.end_missing(look.running, sent_at)
 
     def take_rows(self, rows, now):
--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -134,11 +134,11 @@
     def read_list(self):
         """Learn which VMs are spare."""
         try:
-            rows = self.platform.list_vms(CALL_SECONDS)
+            listed = self.platform.list_vms(CALL_SECONDS)
         finally:
             self.is_listing = False
-        if rows is not None:
-            self.take_list(rows)
+        if listed is not None:
+            self.take_list(listed.rows)
 
     def take_list(self, rows):
         """Take over what the platform lists."""
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -212,6 +212,7 @@
         known = self.table.minion_by_id.get(minion.id)
         if minion.id in self.table.ended_lives:
             return
+        self.need_pool(minion)
         if not self.roster.note(question):
             return
         if known != minion:
@@ -226,6 +227,12 @@
             )
         self.roster.tell(minion.id, question.clock_ms)
 
+    def need_pool(self, minion):
+        """Refuse a minion of a pool that the configuration does not name."""
+        config = self.table.config
+        if config is not None and config.pool(minion.pool) is None:
+            raise HingepitchError("bad_object", f"no pool {minion.pool}")
+
     @answer.register
     def _(self, question: questions.NoteLeaving):
         self.propose(Role.DISPATCHER, RemoveMinion(question.id, wall_ms()))
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -110,6 +110,8 @@
         Client of the service that permits minions, or None.
     `metrics`
         The `Metrics` of the process.
+    `uncallable`
+        Addresses that no client could be made for, by life of a minion.
     """
 
     def __init__(self, replica, connect, terms, name, platform, adviser, metrics):
@@ -128,6 +130,7 @@
         self.confirmed_at = 0.0
         self.is_over = False
         self.agent_by_minion = {}
+        self.uncallable = {}
         self.greenlets = set()
         self.woken = Event()
         self.inherited = {
@@ -412,17 +415,43 @@
                 agent.stop()
                 del self.agent_by_minion[minion_id]
         for minion_id, minion in table.minion_by_id.items():
-            agent = self.agent_by_minion.get(minion_id)
-            if agent is None:
-                agent = Agent(minion, self.connect(minion), self)
-                self.agent_by_minion[minion_id] = agent
-                agent.start()
-            agent.minion = minion
+            agent = self.agent_by_minion.get(minion_id) or self.meet(minion)
+            if agent is not None:
+                agent.minion = minion
         for minion_id in table.touched_minions:
             if minion_id in self.agent_by_minion:
                 self.agent_by_minion[minion_id].wake.set()
         table.touched_minions.clear()
 
+    def meet(self, minion):
+        """Start the agent of a minion; return None if it cannot be called.
+
+        Its record may come from another writer. An error here would end every
+        session of every leader, and with them all dispatching.
+        """
+        if self.uncallable.get(minion.id) == minion.address:
+            return None
+        try:
+            client = self.connect(minion)
+        except ValueError as error:
+            self.uncallable[minion.id] = minion.address
+            log_event("minion_uncallable", minion=minion.id, error=error)
+            self.spawn(self.remove_uncallable, minion)
+            return None
+        agent = self.agent_by_minion[minion.id] = Agent(minion, client, self)
+        agent.start()
+        return agent
+
+    def remove_uncallable(self, minion):
+        """End a life that still cannot be called once its lease is surely over.
+
+        Runs that it had before would stay recorded for good otherwise.
+        """
+        gevent.sleep(self.lease_until_over_seconds)
+        recorded = self.table.minion_by_id.get(minion.id)
+        if recorded is not None and recorded.address == minion.address:
+            self.life_is_over(minion.id, "its address cannot be called")
+
     def outlook(self):
         """Return what the planner must know beyond the table."""
         now = lease_seconds()
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -83,8 +83,9 @@
         `list_vms(seconds)`.
     `upkeep_seconds`
         How long a VM is down for its upkeep.
-    `row_by_vm`, `rows_at`
-        The platform's last whole list, and when it was asked for.
+    `row_by_vm`, `rows_at`, `is_list_whole`
+        The platform's last list, when it was asked for, and whether each of its
+        entries could be read.
     `unlisted_since_by_vm`
         Since when a VM that is busy is missing from that list.
     """
@@ -99,6 +100,7 @@
         self.unlisted_since_by_vm = {}
         self.row_by_vm = {}
         self.rows_at = 0.0
+        self.is_list_whole = False
         self.listed_at = 0.0
 
     @property
@@ -257,7 +259,7 @@
         given five times a second.
         """
         self.read_list_if_due(now)
-        if not self.rows_at or vm in self.row_by_vm:
+        if not self.is_list_whole or vm in self.row_by_vm:
             self.unlisted_since_by_vm.pop(vm, None)
             return False
         since = self.unlisted_since_by_vm.setdefault(vm, self.rows_at)
@@ -307,7 +309,10 @@
         if now <= self.listed_at + LIST_SECONDS:
             return
         self.listed_at = now
-        rows = self.platform.list_vms(CALL_SECONDS)
-        if rows is not None:
-            self.row_by_vm = {row.vm: row for row in rows}
-            self.rows_at = now
+        listed = self.platform.list_vms(CALL_SECONDS)
+        if listed is None:
+            return
+        self.row_by_vm = {row.vm: row for row in listed.rows}
+        self.rows_at = now
+        # A VM that is missing may be one whose entry could not be read.
+        self.is_list_whole = not listed.unread
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -63,7 +63,9 @@
             minion=run.minion,
             reason=reason,
         )
-        self.session.agent_by_minion[run.minion].wake.set()
+        agent = self.session.agent_by_minion.get(run.minion)
+        if agent is not None:
+            agent.wake.set()
 
     def is_at_work(self, task):
         """Whether a lasting task is known to be at work.
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -53,6 +53,8 @@
     "minion_registered": "INFO",
     "minion_removed": "INFO",
     "minion_lapsed": "WARNING",
+    "minion_uncallable": "WARNING",
+    "rows_unread": "WARNING",
     "run_ordered": "INFO",
     "advice_taken": "INFO",
     "pace_set": "INFO",
--- a/hingepitch/peerbook.py
+++ b/hingepitch/peerbook.py
@@ -28,8 +28,11 @@
 
 
 def decode_rows(answer):
-    """Return the list of `MemberRow` of an answer."""
-    return ROWS_DECODER.decode(answer)
+    """Return the list of `MemberRow` of an answer; raise `bad_request`."""
+    try:
+        return ROWS_DECODER.decode(answer)
+    except msgspec.MsgspecError as error:
+        raise HingepitchError("bad_request", f"not members: {error}") from None
 
 
 class PeerBook:
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -9,7 +9,7 @@
     demand as demand_module,
     mover as mover_module,
 )
-from hingepitch.jobs.fleet import FleetReply, VmRow, VmState
+from hingepitch.jobs.fleet import FleetReply, VmList, VmRow, VmState
 from hingepitch.jobs.load import PoolLoad
 from hingepitch.jobs.mover import MoveDesk
 from hingepitch.jobs.pool import PoolTerms
@@ -33,10 +33,12 @@
         self.moves = []
 
     def list_vms(self, seconds):
-        return [
-            VmRow(vm, pool, VmState.UP, "h", "", "a")
-            for vm, pool in self.pool_by_vm.items()
-        ]
+        return VmList(
+            tuple(
+                VmRow(vm, pool, VmState.UP, "h", "", "a")
+                for vm, pool in self.pool_by_vm.items()
+            )
+        )
 
     def move(self, vm, pool, holder, fence, seconds):
         reply = self.replies.pop(0) if self.replies else FleetReply.DONE
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -5,7 +5,7 @@
 
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands, upkeep as upkeep_module
-from hingepitch.jobs.fleet import FleetReply, VmRow, VmState
+from hingepitch.jobs.fleet import FleetReply, VmList, VmRow, VmState
 from hingepitch.jobs.record import UpkeepStage
 from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.spec import Step
@@ -28,6 +28,7 @@
         self.calls = []
         self.down = set()
         self.most_down = 0
+        self.unread = 0
         self.runs_at_call = []
 
     def upkeep(self, vm, wave, holder, fence, seconds):
@@ -61,7 +62,8 @@
     def list_vms(self, seconds):
         if self.listed is None:
             return None
-        return [VmRow(vm, "pool", VmState.UP, "h", "", "a") for vm in self.listed]
+        rows = [VmRow(vm, "pool", VmState.UP, "h", "", "a") for vm in self.listed]
+        return VmList(tuple(rows), self.unread)
 
 
 @pytest.fixture
@@ -183,6 +185,19 @@
     assert desk.is_gone("vm-0", 17.6)
 
 
+def test_a_vm_whose_entry_cannot_be_read_is_not_gone(rig):
+    platform = Platform(rig)
+    desk = UpkeepDesk(rig.dispatcher.session, platform, UPKEEP_SECONDS)
+    platform.listed = ["vm-1"]
+    platform.unread = 1
+    for now in (10.0, 11.5, 13.0, 14.5):
+        assert not desk.is_gone("vm-0", now)
+    platform.unread = 0
+    assert not desk.is_gone("vm-0", 16.0)
+    assert not desk.is_gone("vm-0", 17.5)
+    assert desk.is_gone("vm-0", 19.0)
+
+
 def test_another_leader_carries_on_an_upkeep_that_was_begun(rig):
     rig.log.send(commands.PutWave(1, ("vm-0",), 1, 0))
     rig.log.send(commands.BeginUpkeep(1, "vm-0", 0))
