Sight: log when a minion with runs falls silent, and what its lapsed lease leaves recorded

Cause of the change: a lasting task lapsed and had no run again; the lines of the programs could not tell whether its minion was silent to the leader, since when its lease was over, and whether an order under way kept its run recorded. Change: minion_silent and minion_answers on the change only and only where something runs; minion_lapsed also says how many runs were kept. No change of what is decided.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -295,10 +295,10 @@
     def note_reply(self, reply):
         """Learn from any answer of the minion."""
         if reply.kind in (ReplyKind.UNSURE, ReplyKind.NOT_SENT):
-            self.is_silent = True
+            self.note_silence(True)
             self.looks.wake.set()
             return
-        self.is_silent = False
+        self.note_silence(False)
         self.heard_at = lease_seconds()
         if reply.clock_ms is not None:
             self.note_clock(reply.clock_ms)
@@ -308,6 +308,17 @@
         elif reply.kind is ReplyKind.FENCED:
             self.session.fenced(self.minion.id)
 
+    def note_silence(self, is_silent):
+        """Note whether the minion answers; log a change where something runs."""
+        if is_silent != self.is_silent and self.view_by_task:
+            log_event(
+                "minion_silent" if is_silent else "minion_answers",
+                minion=self.minion.id,
+                runs=len(self.view_by_task),
+                lease_left=round(self.lease_over_at - lease_seconds(), 1),
+            )
+        self.is_silent = is_silent
+
     def end(self, view, result, checkpoint=""):
         """Record that a run is over."""
         run = view.run
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -252,12 +252,16 @@
         if lease_seconds() < self.agent.lease_over_at:
             return
         ends = []
+        kept = 0
         for view in self.agent.view_by_task.values():
             if view.status is RunViewStatus.FRESH or view.is_ordering:
+                kept += 1
                 continue
             run = view.run
             saved = view.row.checkpoint if view.row else ""
             ends.append(RunEnd(run.task, run.number, run.minion, RunResult.LOST, saved))
+        if ends or kept:
+            minion = self.agent.minion.id
+            log_event("minion_lapsed", minion=minion, runs=len(ends), kept=kept)
         if ends:
-            log_event("minion_lapsed", minion=self.agent.minion.id, runs=len(ends))
             self.agent.session.end_runs(tuple(ends))
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -52,6 +52,8 @@
     "upkeep_step": "INFO",
     "minion_registered": "INFO",
     "minion_removed": "INFO",
+    "minion_silent": "INFO",
+    "minion_answers": "INFO",
     "minion_lapsed": "WARNING",
     "run_ordered": "INFO",
     "advice_taken": "INFO",
