Test, red: a stop without an answer keeps a lapsed run recorded for good

Cause under test: a run with an order under way is not given up when the lease of its silent minion is over, and a stop that gets no answer is ordered again at once.

--- /dev/null
+++ b/tests/test_silent_minion.py
@@ -0,0 +1,122 @@
+"""Runs on a minion that fell silent, which have to go on elsewhere.
+
+Seen: a task that lasts lapsed at its minion and had no run again for as long
+as its pool was watched, more than 10 s, beside minions with room.
+How it came about: the leader takes a run on a silent minion to be over once
+the last lease that it gave has surely run out. A run that it wants to stop (its
+minion drains or is due for upkeep, or the job was cancelled) was ordered to
+stop again as soon as the last order had got no answer; while an order was
+under way, the run was not given up.
+Cause: any order under way shielded its run. Only a start may extend a lease.
+Proof: each test here failed before the change that its name tells.
+"""
+
+import gevent
+import pytest
+
+from hingepitch.httpd import wait_until
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.contact import Look, Reply, ReplyKind
+from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.spec import Step
+from tests.memory_minion import MemoryMinion
+from tests.test_dispatch import SECONDS, Rig
+from tests.test_job_rules import make_minion, task
+
+#: A run that is given up has its next one within this time, in seconds: the
+#: lease of `TERMS` with what is added until it is surely over (1.2 s), two
+#: calls without an answer, and what a loaded test machine adds.
+NEXT_RUN_SECONDS = 4.0
+
+
+class LeasedMinion(MemoryMinion):
+    """Runs tasks that last under a lease; says nothing while `is_mute`."""
+
+    def __init__(self):
+        super().__init__(task_seconds=600)
+        self.is_mute = False
+        self.refusal = None
+        self.until_ms = 0
+        self.stops = 0
+
+    def lapse(self):
+        if self.clock_ms() > self.until_ms:
+            for key, number in list(self.running.items()):
+                self.end(key, number, RunResult.LAPSED)
+
+    def no_answer(self, seconds):
+        gevent.sleep(seconds)
+        return Reply(ReplyKind.UNSURE)
+
+    def start(self, order, seconds):
+        if self.is_mute:
+            return self.no_answer(seconds)
+        self.lapse()
+        self.until_ms = max(self.until_ms, order.lease_until_ms)
+        return super().start(order, seconds)
+
+    def stop(self, order, seconds):
+        self.stops += 1
+        return self.no_answer(seconds) if self.is_mute else super().stop(order, seconds)
+
+    def look(self, order, seconds):
+        if self.is_mute:
+            return Look(self.no_answer(seconds))
+        if self.refusal is not None:
+            return Look(self.reply(self.refusal))
+        self.lapse()
+        self.until_ms = max(self.until_ms, order.lease_until_ms or 0)
+        return super().look(order, seconds)
+
+
+@pytest.fixture
+def pair():
+    """Return a rig with a lasting task at work, its minion, and a free one."""
+    minions = (LeasedMinion(), LeasedMinion())
+    by_life = {minion.life: minion for minion in minions}
+    here = Rig(*minions, connect=lambda record: by_life[record.id])
+    here.submit(Step(1, lasts=True))
+    assert wait_until(lambda: any(one.running for one in minions), SECONDS)
+    busy, free = minions if minions[0].running else minions[::-1]
+    agents = here.dispatcher.session.agent_by_minion
+    assert wait_until(lambda: is_seen(agents[busy.life]), SECONDS)
+    yield here, busy, free
+    here.close()
+
+
+def is_seen(agent):
+    return any(view.row is not None for view in agent.view_by_task.values())
+
+
+def agent_of(here, minion):
+    return here.dispatcher.session.agent_by_minion[minion.life]
+
+
+def drain(here, minion):
+    number = here.minions.index(minion)
+    record = make_minion(
+        number,
+        id=minion.life,
+        address=minion.address,
+        cpu_millicores=16_000,
+        is_draining=True,
+    )
+    here.log.send(commands.RegisterMinion(record, 0))
+    here.replica.wake()
+
+
+@pytest.mark.parametrize("why", ["it drains", "its job is cancelled"])
+def test_a_stop_without_an_answer_does_not_keep_a_lapsed_run(pair, why):
+    here, busy, free = pair
+    busy.is_mute = True
+    if why == "it drains":
+        drain(here, busy)
+    else:
+        here.cancel()
+    assert wait_until(lambda: busy.stops, SECONDS)
+    runs = here.log.table.runs_by_minion[busy.life]
+    assert wait_until(lambda: not runs, NEXT_RUN_SECONDS)
+    assert busy.clock_ms() > busy.until_ms
+    if why == "it drains":
+        assert wait_until(lambda: free.begun, SECONDS)
+        assert free.begun[0][:2] == (task(), 2)
