A stop that gets no answer no longer keeps a lapsed run recorded

Cause: a run was not given up at the end of its minion's lease while any order for it was under way; a stop without an answer is ordered again at once, so one always was, until the minion spoke again, was removed or another led. Ruled out for this path: the wait of a stop for its turn ends by itself; a view whose start is in doubt is not ordered again without a look. Change: only a start under way keeps its run; it is settled by its own order, and only a start or a look extends the lease.

--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -42,6 +42,9 @@
 #: held the processor until then.
 UNCONFIRMED_SECONDS = 0.05
 
+#: Runs that the end of a lease does not settle: the order of their start does.
+UNSETTLED_STARTS = frozenset((RunViewStatus.FRESH, RunViewStatus.ORDERED))
+
 
 class LookDesk:
     """Looks at one life of a minion for its agent.
@@ -92,7 +95,7 @@
         if self.agent.is_silent:
             return True
         return any(
-            view.status not in (RunViewStatus.FRESH, RunViewStatus.ORDERED)
+            view.status not in UNSETTLED_STARTS
             for view in self.agent.view_by_task.values()
         )
 
@@ -253,8 +256,11 @@
             return
         ends = []
         kept = 0
+        # A stop extends no lease, answered or not, so it keeps no run: one that
+        # gets no answer is ordered again and again. An order of a start settles
+        # its run itself.
         for view in self.agent.view_by_task.values():
-            if view.status is RunViewStatus.FRESH or view.is_ordering:
+            if view.status in UNSETTLED_STARTS:
                 kept += 1
                 continue
             run = view.run
