An agent's loops belong to the session: a failure ends it, its end ends them

Cause: the two loops of an agent, orders and looks, were started outside the session. A failure in one left its minion without looks or orders for the rest of the leadership, with its runs recorded, only a trace on standard error. And they went on after the session: each agent asked 20 times a second whether it may order. Change: Agent.start uses session.spawn. Conclusion: a program fault now shows as child_failed and a new session; one that comes back at once would end each session, which is the price.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -86,11 +86,13 @@
     # Life cycle.
 
     def start(self):
-        """Start the greenlets of this agent."""
-        self.greenlets = [
-            gevent.spawn(self.give_orders),
-            gevent.spawn(self.looks.run),
-        ]
+        """Start the greenlets of this agent.
+
+        The session watches over them: a failure ends it, so that no minion
+        stays without looks and orders unseen, and they end with it.
+        """
+        for loop in (self.give_orders, self.looks.run):
+            self.spawn(loop)
 
     def spawn(self, function, *arguments):
         """Run a function for as long as this agent is in service."""
--- a/tests/test_silent_minion.py
+++ b/tests/test_silent_minion.py
@@ -8,7 +8,13 @@
 stop again as soon as the last order had got no answer; while an order was
 under way, the run was not given up.
 Cause: any order under way shielded its run. Only a start may extend a lease.
-Proof: each test here failed before the change that its name tells.
+Near kin, found while looking for others of its kind: a look that failed by a
+fault of the program was never made again, while the leader went on; a life
+whose removal was refused once was not removed any more; a refused look put the
+end of the lease off, though it renews nothing; a connection that neither came
+about nor failed held a look for good.
+Proof: each test here failed before the change to what its name tells. That
+these did what was seen on the played day was not shown.
 """
 
 import gevent
@@ -120,3 +126,33 @@
     if why == "it drains":
         assert wait_until(lambda: free.begun, SECONDS)
         assert free.begun[0][:2] == (task(), 2)
+
+
+def test_a_look_that_fails_ends_the_leadership_and_the_next_one_looks(pair):
+    here, busy, _ = pair
+    first = here.dispatcher.session
+    sound = busy.look
+
+    def fail(order, seconds):
+        busy.look = sound
+        raise RuntimeError("a fault of the program")
+
+    busy.look = fail
+    assert wait_until(lambda: here.dispatcher.session not in (first, None), SECONDS)
+    agents = here.dispatcher.session.agent_by_minion
+    assert wait_until(lambda: busy.life in agents, SECONDS)
+    assert wait_until(lambda: is_seen(agents[busy.life]), SECONDS)
+    assert busy.running and len(busy.begun) == 1
+
+
+def test_nothing_of_an_agent_goes_on_after_its_leadership(pair):
+    here, busy, free = pair
+    greenlets = [
+        one
+        for minion in (busy, free)
+        for one in agent_of(here, minion).greenlets
+        if not one.dead
+    ]
+    assert len(greenlets) >= 4
+    here.lead_again()
+    assert wait_until(lambda: all(one.dead for one in greenlets), SECONDS)
