A life that is over is removed though its removal was refused once

Cause: an agent called its minion gone when another life answered at its address, and proposed its removal once. If that was refused (no quorum in time, a full queue), both loops had ended: the runs stayed recorded until the next leadership, or until the same VM came back. Change: the minion is gone once that is recorded; until then looks go on, and each answer tries again.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -305,8 +305,10 @@
         if reply.clock_ms is not None:
             self.note_clock(reply.clock_ms)
         if reply.kind is ReplyKind.OTHER_LIFE:
-            self.is_gone = True
-            self.session.life_is_over(self.minion.id, "another life answered")
+            # Not gone until that is recorded: nobody else would try again.
+            self.is_gone = self.session.life_is_over(
+                self.minion.id, "another life answered"
+            )
         elif reply.kind is ReplyKind.FENCED:
             self.session.fenced(self.minion.id)
 
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -269,9 +269,9 @@
             self.durations.note(queue.place, step, at_ms - run.started_ms)
 
     def life_is_over(self, minion_id, reason):
-        """Record that a life of a minion is over."""
+        """Record that a life of a minion is over; return whether it is."""
         log_event("minion_removed", minion=minion_id, reason=reason)
-        self.propose(RemoveMinion(minion_id, wall_ms()))
+        return self.propose(RemoveMinion(minion_id, wall_ms()))
 
     def fenced(self, minion_id):
         """Stop giving orders: a minion has heard a later leader."""
--- a/tests/test_silent_minion.py
+++ b/tests/test_silent_minion.py
@@ -20,6 +20,7 @@
 import gevent
 import pytest
 
+from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.contact import Look, Reply, ReplyKind
@@ -156,3 +157,21 @@
     assert len(greenlets) >= 4
     here.lead_again()
     assert wait_until(lambda: all(one.dead for one in greenlets), SECONDS)
+
+
+def test_a_life_that_is_over_is_removed_though_that_was_refused_once(pair):
+    here, busy, free = pair
+    refused = []
+    propose = here.replica.propose
+
+    def refuse_once(envelope):
+        is_removal = isinstance(envelope.command, commands.RemoveMinion)
+        if is_removal and not refused:
+            refused.append(envelope)
+            raise HingepitchError("lost_leadership")
+        return propose(envelope)
+
+    here.replica.propose = refuse_once
+    busy.refusal = ReplyKind.OTHER_LIFE
+    assert wait_until(lambda: free.begun, SECONDS)
+    assert refused
