A refused look no longer puts the end of a lease off

Cause: each look that was sent counted as a renewal, also when the minion answered that it had done nothing. Refused again and again, without a pause, the looks kept the minion's runs recorded though their lease was over. Change: after an answer that lists nothing, looks ask for no lease and do not wait, until the minion lists its runs again; from the second one on they pause, as for a silent minion. What a lost answer means is unchanged.

--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -64,6 +64,8 @@
         Whether a look is waiting at the minion.
     `is_settling`
         Whether runs in doubt are looked for beside it.
+    `was_refused`
+        Whether the last look was answered, but not with what runs.
     """
 
     def __init__(self, agent):
@@ -75,6 +77,7 @@
         self.taking = BoundedSemaphore(1)
         self.is_held = False
         self.is_settling = False
+        self.was_refused = False
 
     def run(self):
         """Look as long as anything runs, or ended without being recorded."""
@@ -103,6 +106,8 @@
         """Return how long the next look may wait at the minion."""
         if not self.agent.view_by_task or self.agent.is_silent or self.is_in_doubt():
             return 0
+        if self.was_refused:
+            return 0
         statuses = {view.status for view in self.agent.view_by_task.values()}
         if RunViewStatus.INHERITED in statuses:
             return 0
@@ -160,18 +165,21 @@
         taken = self.ends_taken
         until = None
         # Each renewal may arrive, so each puts off the end of the lease: a
-        # minion that has fallen silent gets none until it answers again.
-        if self.agent.clock_offset_ms is not None and not self.agent.is_silent:
+        # minion that fell silent, or refused a look, gets none until it lists
+        # its runs again.
+        is_listing = not self.agent.is_silent and not self.was_refused
+        if self.agent.clock_offset_ms is not None and is_listing:
             until = self.agent.lease_until_ms()
             self.agent.extend_lease()
         order = LookOrder(self.agent.session.fence, taken, until, wait_ms)
-        was_silent = self.agent.is_silent
         answer_seconds = max(ANSWER_SECONDS, self.agent.answer_time.limit_seconds)
         look = self.agent.client.look(order, wait_ms / 1000 + answer_seconds)
         self.agent.note_reply(look.reply)
-        if look.reply.kind is not ReplyKind.DONE:
+        is_done = look.reply.kind is ReplyKind.DONE
+        self.was_refused = not is_done and not self.agent.is_silent
+        if not is_done:
             self.give_up_if_lapsed()
-            if was_silent:
+            if not is_listing:
                 idle = not self.agent.view_by_task
                 gevent.sleep(IDLE_RETRY_SECONDS if idle else RETRY_SECONDS)
             return
--- a/tests/test_silent_minion.py
+++ b/tests/test_silent_minion.py
@@ -175,3 +175,11 @@
     busy.refusal = ReplyKind.OTHER_LIFE
     assert wait_until(lambda: free.begun, SECONDS)
     assert refused
+
+
+def test_a_minion_that_refuses_all_looks_loses_its_runs_with_its_lease(pair):
+    here, busy, free = pair
+    busy.refusal = ReplyKind.UNHEALTHY
+    agent_of(here, busy).set_aside(60)
+    assert wait_until(lambda: free.begun, NEXT_RUN_SECONDS)
+    assert free.begun[0][2] * 1000 > busy.until_ms
