--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -86,11 +86,13 @@
     # Life cycle.
 
     def start(self):
-        """Start the greenlets of this agent."""
-        self.greenlets = [
-            gevent.spawn(self.give_orders),
-            gevent.spawn(self.looks.run),
-        ]
+        """Start the greenlets of this agent.
+
+        The session watches over them: a failure ends it, so that no minion
+        stays without looks and orders unseen, and they end with it.
+        """
+        for loop in (self.give_orders, self.looks.run):
+            self.spawn(loop)
 
     def spawn(self, function, *arguments):
         """Run a function for as long as this agent is in service."""
@@ -295,19 +297,32 @@
     def note_reply(self, reply):
         """Learn from any answer of the minion."""
         if reply.kind in (ReplyKind.UNSURE, ReplyKind.NOT_SENT):
-            self.is_silent = True
+            self.note_silence(True)
             self.looks.wake.set()
             return
-        self.is_silent = False
+        self.note_silence(False)
         self.heard_at = lease_seconds()
         if reply.clock_ms is not None:
             self.note_clock(reply.clock_ms)
         if reply.kind is ReplyKind.OTHER_LIFE:
-            self.is_gone = True
-            self.session.life_is_over(self.minion.id, "another life answered")
+            # Not gone until that is recorded: nobody else would try again.
+            self.is_gone = self.session.life_is_over(
+                self.minion.id, "another life answered"
+            )
         elif reply.kind is ReplyKind.FENCED:
             self.session.fenced(self.minion.id)
 
+    def note_silence(self, is_silent):
+        """Note whether the minion answers; log a change where something runs."""
+        if is_silent != self.is_silent and self.view_by_task:
+            log_event(
+                "minion_silent" if is_silent else "minion_answers",
+                minion=self.minion.id,
+                runs=len(self.view_by_task),
+                lease_left=round(self.lease_over_at - lease_seconds(), 1),
+            )
+        self.is_silent = is_silent
+
     def end(self, view, result, checkpoint=""):
         """Record that a run is over."""
         run = view.run
