A step waits for one rack only while that pays, and never for room that tasks hold that last

Cause: plan.in_one_rack held a step back as long as some rack could hold it when empty. A rack with a task that lasts is never empty again, so the step waited for ever; and once one task of a step was carried in a rack, the rest could go to that rack only, full or gone.

Change: jobs/rack.py. What a rack can come to have is counted beside the tasks that last. A step waits at most (far_x - 1) times the expected time of a task, which is what one rack saves; the leader notes since when. Tasks that last do not wait: what they serve is missing meanwhile. far_x comes from the bounds. Not done: VMs of that rack are not asked for; moves know no racks.

What it buys: no wait without an end.

--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -8,13 +8,13 @@
 :license: BSD, see LICENSE for details.
 """
 
-from collections import Counter
 from dataclasses import dataclass, field, replace
 from functools import cached_property
 
 from hingepitch.jobs.command import Start
 from hingepitch.jobs.due import due_ms, is_late
 from hingepitch.jobs.duration import Durations
+from hingepitch.jobs.rack import minions_for_one_rack
 from hingepitch.jobs.record import TaskStatus
 from hingepitch.jobs.spec import TaskKey
 from hingepitch.jobs.table import Room
@@ -34,6 +34,10 @@
         Lives that may run a step, where its queue needs permission.
     `durations`
         What is known of the run times.
+    `far_factor`
+        How many times as long tasks take that want one rack and have not.
+    `rack_waited_ms_by_step`
+        How long steps have waited that want one rack.
     """
 
     now_ms: int
@@ -41,6 +45,8 @@
     doubt_by_minion: dict[str, float] = field(default_factory=dict)
     permitted_by_step: dict[tuple, set[str]] = field(default_factory=dict)
     durations: Durations = field(default_factory=Durations)
+    far_factor: float = 2.0
+    rack_waited_ms_by_step: dict[tuple, float] = field(default_factory=dict)
 
 
 @dataclass
@@ -167,7 +173,7 @@
     step = job.spec.steps[key[2]]
     candidates = list(eligible(work, job, key, step))
     if step.same_rack:
-        candidates = in_one_rack(work, key, step, candidates)
+        candidates = minions_for_one_rack(work, job, key, candidates, len(indexes))
     for index in indexes:
         minion = best_minion(work, key, step, candidates)
         if minion is None:
@@ -190,41 +196,6 @@
         yield minion
 
 
-def in_one_rack(work, key, step, candidates):
-    """Return the candidates in the rack that the tasks of a step share.
-
-    The rack that has some of them already, else the one with the most room.
-    While none has room for all, nothing is returned: the step waits, unless
-    no rack would have room for it even when empty.
-    """
-    for minion_id, count in work.carried(key).items():
-        minion = work.table.minion_by_id.get(minion_id)
-        if count and minion is not None:
-            return [one for one in candidates if one.rack == minion.rack]
-    free_by_rack = Counter()
-    all_by_rack = Counter()
-    for minion in candidates:
-        free_by_rack[minion.rack] += slots_on(step, minion, work.room(minion))
-        all_by_rack[minion.rack] += slots_on(step, minion, Room())
-    if not any(slots >= step.count for slots in all_by_rack.values()):
-        return candidates
-    rack, slots = free_by_rack.most_common(1)[0]
-    if slots < step.count:
-        return []
-    return [one for one in candidates if one.rack == rack]
-
-
-def slots_on(step, minion, room):
-    """Return how many tasks of `step` fit on `minion` beside what is taken."""
-    free = (
-        (minion.cpu_millicores - room.cpu_millicores, step.counted_millicores),
-        (minion.memory_mb - room.memory_mb, step.memory_mb),
-        (minion.accelerators - room.accelerators, step.accelerators),
-    )
-    slots = min((have // need for have, need in free if need), default=step.count)
-    return min(slots, step.max_per_minion or slots, step.count)
-
-
 def best_minion(work, key, step, candidates):
     """Return the minion for one more task of a step, or None.
 
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -75,6 +75,8 @@
         How long a VM is down for its upkeep.
     `move_seconds`
         How long a VM is away while it changes pool.
+    `far_factor`
+        How many times as long tasks take that want one rack and have not.
     `pools`
         When VMs change pool.
     """
@@ -87,6 +89,7 @@
     early_ms: int = 0
     upkeep_seconds: float = 2.0
     move_seconds: float = 1.5
+    far_factor: float = 2.0
     pools: PoolTerms = PoolTerms()
 
     @property
@@ -110,6 +113,8 @@
         Client of the service that permits minions, or None.
     `metrics`
         The `Metrics` of the process.
+    `rack_waits`
+        Since when steps wait that want one rack, as this leadership saw it.
     """
 
     def __init__(self, replica, connect, terms, name, platform, adviser, metrics):
@@ -130,6 +135,7 @@
         self.agent_by_minion = {}
         self.greenlets = set()
         self.woken = Event()
+        self.rack_waits = {}
         self.inherited = {
             (run.task, run.number) for run in self.table.run_by_task.values()
         }
@@ -431,7 +437,24 @@
             if self.permissions.advice_of(step_key) is not None
         }
         doubt = {life: self.agent_by_minion[life].health.doubt(now) for life in usable}
-        return Outlook(wall_ms(), usable, doubt, permitted, self.durations)
+        return Outlook(
+            wall_ms(),
+            usable,
+            doubt,
+            permitted,
+            self.durations,
+            self.terms.far_factor,
+            self.rack_waited_ms(now),
+        )
+
+    def rack_waited_ms(self, now):
+        """Return how long the ready steps have waited that want one rack."""
+        self.rack_waits = {
+            key: self.rack_waits.get(key, now)
+            for key in self.table.ready_steps
+            if self.table.job_by_id[key[0]].spec.steps[key[2]].same_rack
+        }
+        return {key: (now - since) * 1000 for key, since in self.rack_waits.items()}
 
     def open_due_rounds(self):
         """Begin the rounds whose time has come."""
--- a/tests/test_waiting_beside_room.py
+++ b/tests/test_waiting_beside_room.py
@@ -10,10 +10,14 @@
 
 from hypothesis import given, settings, strategies as st
 
+from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
-from hingepitch.jobs.plan import Outlook, plan_starts, slots_on
+from hingepitch.jobs.plan import Outlook, plan_starts
+from hingepitch.jobs.rack import slots_on
 from hingepitch.jobs.spec import Step
-from tests.test_job_plan import make_log
+from standin.taskminion import TaskMinion
+from tests.test_dispatch import SECONDS, Rig
+from tests.test_job_plan import OTHER, make_log
 from tests.test_job_rules import JOB, make_minion, task
 
 #: Passes after which nothing new can come: what one starts bars nothing that
@@ -95,3 +99,69 @@
     log.submit(step)
     settle(log)
     assert not waits_beside_room(log, step)
+
+
+def two_racks():
+    """Return a log whose pool has two racks of two minions."""
+    racks = ("r1", "r1", "r2", "r2")
+    return make_log(
+        *(make_minion(n, rack=one, labels=("a", one)) for n, one in enumerate(racks))
+    )
+
+
+def test_a_rack_that_tasks_that_last_never_leave_is_not_waited_for():
+    log = two_racks()
+    for number in (0, 2):
+        job = f"{number:016x}"
+        log.submit(Step(1, cpu_millicores=1500, lasts=True), job=job)
+        log.start(task(job=job), minion=f"i-{number}")
+    log.submit(Step(4, cpu_millicores=2000, same_rack=True))
+    settle(log)
+    assert len([key for key in log.table.run_by_task if key.job == JOB]) == 4
+
+
+def test_tasks_that_last_go_elsewhere_when_their_rack_is_full():
+    log = two_racks()
+    log.submit(Step(4, cpu_millicores=2000, same_rack=True, lasts=True))
+    log.start(task(index=0), minion="i-0")
+    log.submit(Step(1, cpu_millicores=4000, lasts=True), job=OTHER)
+    log.start(task(job=OTHER), minion="i-1")
+    settle(log)
+    assert len([key for key in log.table.run_by_task if key.job == JOB]) == 4
+
+
+def test_a_busy_rack_is_waited_for_as_long_as_that_pays():
+    log = two_racks()
+    for number in range(4):
+        job = f"{number:016x}"
+        log.submit(Step(1, cpu_millicores=2000), job=job)
+        log.start(task(job=job), minion=f"i-{number}")
+    log.submit(Step(4, cpu_millicores=2000, estimate_ms=1000, same_rack=True))
+    for waited_ms, expected in ((0, 0), (2000, 0), (2001, 4)):
+        outlook = Outlook(
+            0,
+            set(log.table.minion_by_id),
+            far_factor=3.0,
+            rack_waited_ms_by_step={(JOB, 0, 0): waited_ms},
+        )
+        assert len(plan_starts(log.table, outlook)[0]) == expected
+
+
+def test_a_leader_notes_how_long_a_step_waits_for_its_rack():
+    rig = Rig(TaskMinion(task_seconds=0.5), TaskMinion(task_seconds=0.5))
+    try:
+        rig.submit(Step(2, cpu_millicores=16_000))
+        assert wait_until(lambda: len(rig.log.table.run_by_task) == 2, SECONDS)
+        session = rig.dispatcher.session
+        late = Step(2, cpu_millicores=16_000, estimate_ms=9000, same_rack=True)
+        rig.log.submit(late, job=OTHER)
+        key = (OTHER, 0, 0)
+        first = session.outlook().rack_waited_ms_by_step[key]
+        assert wait_until(
+            lambda: session.outlook().rack_waited_ms_by_step.get(key, 0) > first,
+            SECONDS,
+        )
+        assert wait_until(lambda: key not in rig.log.table.ready_steps, SECONDS)
+        assert not session.outlook().rack_waited_ms_by_step
+    finally:
+        rig.close()
