Two moves that are waited for though nobody brings them about: tests, red

Sought: everything that waits for a condition that nobody brings about. Found in the moves of VMs:

The platform answers 400 both for a pair of kind and pool that do not fit and for a VM that is gone. A VM whose move was carried out and that never comes (it crashed for good meanwhile) counted as incoming for ever; the pool stayed one VM short, also while tasks starved.

Run: python -m pytest tests/test_mover.py: these two failed.

--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -185,6 +185,26 @@
     assert len([vm for vm, pool, _ in api.moves if pool == "pool"]) <= 2
 
 
+def test_a_vm_that_is_gone_does_not_bar_others_of_its_kind(rig):
+    api = FleetApi({"vm-8": "off", "vm-9": "off"})
+    api.replies = [FleetReply.UNKNOWN_VM]
+    desk = move_by(rig, api)
+    assert wait_until(lambda: desk.spare_vms, SECONDS)
+    rig.submit(Step(3, cpu_millicores=9000, lasts=True))
+    assert wait_until(lambda: len(api.moves) >= 2, 3), "no other VM is tried"
+    assert api.moves[0][0] != api.moves[1][0]
+
+
+def test_a_vm_that_never_arrives_is_not_waited_for(rig, monkeypatch):
+    api = FleetApi({"vm-8": "off", "vm-9": "off"})
+    desk = move_by(rig, api)
+    monkeypatch.setattr(type(rig.dispatcher.session), "silence_seconds", 0.3)
+    rig.submit(Step(3, cpu_millicores=9000, lasts=True))
+    assert wait_until(lambda: len(api.moves) >= 2, 4), "no other VM is taken"
+    assert desk.incoming("pool") <= 1
+    assert {pool for _, pool, _ in api.moves} == {"pool"}
+
+
 def test_the_new_life_ends_the_move(rig):
     rig.log.send(commands.BeginMove("vm-0", "pool"))
     fresh = make_minion(0, id="i-fresh")
