A VM that is gone bars no others from its pool, and one that never comes is not waited for

One answer 400 barred a pair of kind and pool for the whole leadership; a move was over only when its VM registered.

Ruled out: a list that shows the VM again brings no loop; it is held meanwhile.

Conclusion: both leave a pool short of VMs for ever. That one of them was the cause of the report is not shown: a task there had room beside it.

--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -64,6 +64,10 @@
         The spare pool that a VM was taken from, while its move is not settled.
     `beginning`
         Moves that are on their way into the log, as pools by VM.
+    `kinds_by_pool`
+        The kinds of VMs that were seen in each pool.
+    `moved_at_by_vm`
+        When the platform has carried out a move that is not over yet.
     `is_lacking`
         Whether a pool wants more VMs than it has, or will have from moves.
     `wake`
@@ -85,6 +89,8 @@
         self.idle_since_by_vm = {}
         self.spare_vms = {}
         self.kind_by_vm = {}
+        self.kinds_by_pool = defaultdict(set)
+        self.moved_at_by_vm = {}
         self.listed_at = 0.0
         self.wake = Event()
         self.is_lacking = False
@@ -111,6 +117,8 @@
         for vm, pool in list(table.move_by_vm.items()):
             if (vm, pool) not in self.done:
                 self.call_once_at_a_time(vm, pool)
+            elif self.is_overdue(vm, now):
+                self.session.spawn(self.give_up, vm, pool)
         self.done &= set(table.move_by_vm.items())
         views = list(self.views(config, now))
         is_known = self.demand.is_known(now)
@@ -146,6 +154,8 @@
             pool.name for pool in self.session.table.config.pools if pool.is_spare
         }
         self.kind_by_vm = {row.vm: row.kind for row in rows}
+        for row in rows:
+            self.kinds_by_pool[row.pool].add(row.kind)
         on_their_way = {
             vm: pool
             for vm, pool in self.spare_vms.items()
@@ -180,6 +190,7 @@
                 view.present -= self.outgoing(pool.name)
                 view.present -= away(minions_by_pool[pool.name], in_upkeep)
             view.kinds = frozenset(minion.kind for minion in minions_by_pool[pool.name])
+            self.kinds_by_pool[pool.name] |= view.kinds
             yield view
 
     def minions_by_pool(self):
@@ -283,7 +294,7 @@
         if reply is FleetReply.DONE:
             self.finish(vm, pool, life)
         elif reply is FleetReply.UNKNOWN_VM:
-            self.impossible.add((self.kind_by_vm.get(vm, ""), pool))
+            self.note_unfit(vm, pool)
             self.session.propose(EndMove(vm))
         elif reply in (FleetReply.BUSY, FleetReply.NOT_IN_WAVE):
             self.hold(vm, BUSY_SECONDS)
@@ -295,9 +306,39 @@
         elif reply is FleetReply.UNSURE:
             self.hold(vm, UNSURE_SECONDS)
 
+    def note_unfit(self, vm, pool):
+        """Note that the platform knows no such VM, or not in that pool.
+
+        Where a pool was seen with VMs of that kind, it is the VM that is gone:
+        the others may come. It is left alone until lists no longer show it.
+        """
+        kind = self.kind_by_vm.get(vm, "")
+        if kind not in self.kinds_by_pool[pool]:
+            self.impossible.add((kind, pool))
+        self.source_by_vm.pop(vm, None)
+        self.hold(vm, UNSURE_SECONDS)
+
+    def is_overdue(self, vm, now):
+        """Whether a VM was moved and should have been heard of long ago."""
+        moved_at = self.moved_at_by_vm.get(vm, now)
+        return now - moved_at > self.move_seconds + self.session.silence_seconds
+
+    def give_up(self, vm, pool):
+        """Record that a move is over though the VM never came.
+
+        It may have crashed for good meanwhile: counted as on its way, it would
+        keep another from being taken in its place. If it comes, it registers.
+        """
+        # Tried again after as long, should it not be committed.
+        self.moved_at_by_vm[vm] = lease_seconds()
+        fence = self.session.fence
+        log_event("move_step", vm=vm, pool=pool, fence=fence, reply="never came")
+        self.session.propose(EndMove(vm))
+
     def finish(self, vm, pool, life):
         """Record that a VM has moved: its life there is over."""
         self.done.add((vm, pool))
+        self.moved_at_by_vm[vm] = lease_seconds()
         self.source_by_vm.pop(vm, None)
         self.idle_since_by_vm.pop(vm, None)
         config_pool = self.session.table.config.pool(pool)
