An agent that fails ends its session; an end of a gang whose round is closed does not fail it

Cause: the two loops of each agent (orders, looks) were greenlets that nobody watched. If one failed, its minion went on getting runs: without looks their ends were never taken, their lease was never renewed, and a run that lapsed there was never given up. Its tasks waited for ever beside free room. What is spawned otherwise ends the session, and the next one starts anew from the log.

One way to fail was real: a job with due times and a gang. The first member's end closes the round, the next member's end found no task (AttributeError in Session.note_duration, seen in the test).

The same loops outlived their leadership, each trying 20 times a second whether it may order.

Change: both loops are spawned as the session's. note_duration takes a round that is closed.

Ruled out for the deployments at hand: gangs with due times; their site files have gang and timed at 0.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -86,11 +86,13 @@
     # Life cycle.
 
     def start(self):
-        """Start the greenlets of this agent."""
-        self.greenlets = [
-            gevent.spawn(self.give_orders),
-            gevent.spawn(self.looks.run),
-        ]
+        """Start the greenlets of this agent.
+
+        Should one fail, the session ends with it. A minion without its looks
+        would go on getting runs whose ends nobody sees, for ever.
+        """
+        self.spawn(self.give_orders)
+        self.spawn(self.looks.run)
 
     def spawn(self, function, *arguments):
         """Run a function for as long as this agent is in service."""
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -270,7 +270,9 @@
         step = run and self.step_of(run)
         if end.result is not RunResult.DONE or step is None:
             return
-        if run.number == end.number and not self.table.task(end.task).checkpoint:
+        # None: the round was closed by another member of its gang.
+        task = self.table.task(end.task)
+        if run.number == end.number and task is not None and not task.checkpoint:
             queue = self.table.policy(self.table.job_by_id[end.task.job])
             self.durations.note(queue.place, step, at_ms - run.started_ms)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -216,6 +216,16 @@
     assert not any(kind == "stop" for kind, _ in minion.calls)
 
 
+def test_a_leadership_that_is_over_leaves_nothing_at_work(rig):
+    minion = TaskMinion()
+    here = rig(minion)
+    here.submit(Step(1, lasts=True))
+    assert wait_until(lambda: minion.running, SECONDS)
+    agent = here.dispatcher.session.agent_by_minion[minion.life]
+    here.lead_again()
+    assert wait_until(lambda: all(one.dead for one in agent.greenlets), SECONDS)
+
+
 def test_a_new_leader_does_not_trust_a_run_that_never_arrived(rig):
     minion = TaskMinion(task_seconds=0.05)
     here = rig(minion)
@@ -231,6 +241,40 @@
     assert ("stop", 1) in [(kind, body.get("run")) for kind, body in minion.calls]
 
 
+def test_an_end_of_a_gang_after_its_round_was_closed_is_taken(rig):
+    quick, slow = TaskMinion(task_seconds=0.05), TaskMinion(task_seconds=0.4)
+    here = rig(quick, slow)
+    assert wait_until(lambda: here.dispatcher.session is not None, SECONDS)
+    first = here.dispatcher.session
+    gang = Step(2, estimate_ms=50, gang=True, max_per_minion=1)
+    here.log.submit(gang, times=2, first_due_ms=0, interval_ms=10**15)
+    here.replica.wake()
+    assert wait_until(lambda: here.log.table.job_by_id[JOB].rounds_done, SECONDS)
+    assert wait_until(lambda: not here.log.table.run_by_task, SECONDS)
+    assert here.dispatcher.session is first
+
+
+class BrokenOnce(HttpMinion):
+    """A client that fails once, as a fault of the program would."""
+
+    breaks = []
+
+    def look(self, order, seconds):
+        if self.breaks:
+            raise self.breaks.pop()
+        return super().look(order, seconds)
+
+
+def test_an_agent_that_fails_leaves_no_minion_without_one(rig):
+    minion = TaskMinion(task_seconds=0.05)
+    here = rig(minion, connect=BrokenOnce)
+    assert wait_until(lambda: here.dispatcher.session is not None, SECONDS)
+    BrokenOnce.breaks = [KeyError("planted")]
+    here.submit(Step(2))
+    assert wait_until(lambda: not BrokenOnce.breaks, SECONDS)
+    here.wait_status(JobStatus.SUCCEEDED)
+
+
 def test_another_life_at_the_address_frees_the_tasks(rig):
     first, second = TaskMinion(), TaskMinion()
     here = rig(first)
