Permissions are asked for again once those that hold are of no use; an empty pool rests

Cause, four faults of jobs/permission.py:

A permission that holds kept a step from asking, also when its minion was gone, leaving or full. The step waited until the permission ran out beside minions that nobody had asked about. 2. Of a pool with more minions than one call takes, only the 30 with the most room were asked about, again and again, though the answer does not change. 3. A step that was denied everywhere was asked about without a pause. 4. With no minion in the pool the loop neither asked nor slept: it held the leader's whole process.

Change: a step needs a call unless a permitted minion has a place for one more task of it. Lives that were denied are left out for 5 s. Beside permissions that hold, only minions with a place are asked about. A loop that asked nothing rests.

Before: four new tests of tests/test_pace.py failed. After: test_pace and test_job_rules passed, twice.

--- a/hingepitch/jobs/permission.py
+++ b/hingepitch/jobs/permission.py
@@ -14,6 +14,8 @@
 import gevent
 
 from hingepitch.clock import lease_seconds
+from hingepitch.jobs.rule import place_fault
+from hingepitch.jobs.spec import TaskKey
 from hingepitch.log import log_event
 
 __all__ = ["Permission", "PermissionDesk"]
@@ -29,6 +31,11 @@
 IDLE_SECONDS = 0.02
 RETRY_SECONDS = 0.2
 
+#: A minion that may not run a step is asked about again after so long, in
+#: seconds. Source: the answer for a step does not change, but a life that has
+#: just come may not be known to the adviser yet.
+DENIED_SECONDS = 5.0
+
 #: A permission that ends sooner than this is asked for anew, in seconds: the
 #: start has to reach the minion while it holds.
 MARGIN_SECONDS = 0.5
@@ -56,12 +63,17 @@
     `adviser`
         Client with `advise(step_key, lives, seconds)`, which returns the
         tickets by life, or None; None where there is no adviser.
+    `permissions_by_step`
+        What was permitted, by life.
+    `denied_until_by_step`
+        Until when lives are not asked about again.
     """
 
     def __init__(self, session, adviser):
         self.session = session
         self.adviser = adviser
         self.permissions_by_step = {}
+        self.denied_until_by_step = {}
 
     def run(self):
         """Ask until killed."""
@@ -69,8 +81,7 @@
             asked = False
             for step_key in list(self.session.table.ready_steps):
                 if self.needs_call(step_key):
-                    self.ask(step_key)
-                    asked = True
+                    asked = self.ask(step_key) or asked
             self.forget()
             if not asked:
                 gevent.sleep(IDLE_SECONDS)
@@ -81,37 +92,72 @@
         return self.session.table.policy(job).advice if job else None
 
     def needs_call(self, step_key):
-        """Whether a step needs permissions and has none that hold."""
-        return self.advice_of(step_key) is not None and not self.permitted(step_key)
+        """Whether a step needs permissions and has none that it can use.
+
+        A permitted minion that is full or gone is of no use to the tasks that
+        wait: the others are asked about beside it.
+        """
+        if step_key not in self.session.table.ready_steps:
+            return False
+        if self.advice_of(step_key) is None:
+            return False
+        return not any(self.takes(step_key, life) for life in self.permitted(step_key))
+
+    def takes(self, step_key, life):
+        """Whether a minion has a place for one more task of a step."""
+        table = self.session.table
+        minion = table.minion_by_id.get(life)
+        if minion is None or table.is_leaving(minion):
+            return False
+        job = table.job_by_id[step_key[0]]
+        return not place_fault(table, job, TaskKey(*step_key, 0), minion)
 
     def ask(self, step_key):
-        """Ask about one step; keep what is permitted."""
+        """Ask about one step, keep what is permitted; return whether it asked."""
         lives = self.candidates(step_key)
         if not lives:
-            return
+            return False
         sent_at = lease_seconds()
         ticket_by_life = self.adviser.advise(step_key, lives, CALL_SECONDS)
         if ticket_by_life is None:
             gevent.sleep(RETRY_SECONDS)
-            return
+            return True
         terms = self.advice_of(step_key)
         if terms is None:
-            return
+            return True
         until = sent_at + terms.valid_ms / 1000
-        self.permissions_by_step[step_key] = {
-            life: Permission(ticket, until) for life, ticket in ticket_by_life.items()
-        }
+        self.permissions_by_step.setdefault(step_key, {}).update(
+            (life, Permission(ticket, until)) for life, ticket in ticket_by_life.items()
+        )
+        self.denied_until_by_step.setdefault(step_key, {}).update(
+            (life, sent_at + DENIED_SECONDS)
+            for life in lives
+            if life not in ticket_by_life
+        )
         log_event(
             "advice_taken", job=step_key[0], asked=len(lives), good=len(ticket_by_life)
         )
         self.session.woken.set()
+        return True
 
     def candidates(self, step_key):
-        """Return the lives to ask about, those with the most room first."""
+        """Return the lives to ask about, those with the most room first.
+
+        Beside permissions that hold, only those that have a place now.
+        """
         table = self.session.table
-        job = table.job_by_id[step_key[0]]
-        pool = table.policy(job).pool
-        minions = [one for one in table.minion_by_id.values() if one.pool == pool]
+        pool = table.policy(table.job_by_id[step_key[0]]).pool
+        known = self.permitted(step_key)
+        now = lease_seconds()
+        denied_until = self.denied_until_by_step.get(step_key, {})
+        minions = [
+            one
+            for one in table.minion_by_id.values()
+            if one.pool == pool
+            and one.id not in known
+            and now >= denied_until.get(one.id, 0.0)
+            and (not known or self.takes(step_key, one.id))
+        ]
         minions.sort(key=lambda one: table.taken_by_minion[one.id].cpu_millicores)
         return [minion.id for minion in minions[:MINIONS_IN_CALL]]
 
@@ -133,3 +179,4 @@
             job = jobs.get(step_key[0])
             if job is None or not job.is_open:
                 del self.permissions_by_step[step_key]
+                self.denied_until_by_step.pop(step_key, None)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -6,13 +6,17 @@
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.pace import Neighbour, next_percent
-from hingepitch.jobs.permission import MARGIN_SECONDS, PermissionDesk
+from hingepitch.jobs.permission import (
+    MARGIN_SECONDS,
+    MINIONS_IN_CALL,
+    PermissionDesk,
+)
 from hingepitch.jobs.queue import AdviceTerms, Queue
 from hingepitch.jobs.record import JobStatus
-from hingepitch.jobs.spec import Step
+from hingepitch.jobs.spec import Step, TaskKey
 from standin.taskminion import TaskMinion
 from tests.test_dispatch import SECONDS, Rig
-from tests.test_job_rules import HOST, JOB, make_config
+from tests.test_job_rules import HOST, JOB, make_config, make_minion
 
 
 @pytest.mark.parametrize(
@@ -86,3 +90,72 @@
     adviser.good = [minion.life for minion in advised_rig.minions]
     advised_rig.wait_status(JobStatus.SUCCEEDED)
     assert adviser.calls[0][0] == (JOB, 0, 0)
+
+
+def rested(desk, monkeypatch, limit=50):
+    """Return whether a desk rests before it has looked for lives so often."""
+    looked = []
+    candidates = desk.candidates
+
+    def counted(step_key):
+        looked.append(step_key)
+        if len(looked) > limit:
+            raise gevent.GreenletExit
+        return candidates(step_key)
+
+    monkeypatch.setattr(desk, "candidates", counted)
+    greenlet = gevent.spawn(desk.run)
+    gevent.sleep(0)
+    is_over = greenlet.dead
+    greenlet.kill()
+    return not is_over
+
+
+def test_a_pool_without_minions_does_not_hold_the_leader(advised_rig, monkeypatch):
+    for minion in advised_rig.minions:
+        advised_rig.log.send(commands.RemoveMinion(minion.life, 0))
+    advised_rig.log.submit(Step(1))
+    desk = PermissionDesk(advised_rig.dispatcher.session, Adviser())
+    assert rested(desk, monkeypatch)
+
+
+def test_a_minion_that_came_later_is_asked_about_beside_full_ones(advised_rig):
+    first = advised_rig.minions[0]
+    fresh = make_minion(7, cpu_millicores=16_000)
+    desk = PermissionDesk(advised_rig.dispatcher.session, Adviser(first.life, fresh.id))
+    advised_rig.log.submit(Step(2, max_per_minion=1))
+    key = (JOB, 0, 0)
+    desk.ask(key)
+    assert desk.permitted(key) == {first.life}
+    advised_rig.log.start(TaskKey(*key, 0), minion=first.life)
+    advised_rig.log.send(commands.RegisterMinion(fresh, 0))
+    assert desk.needs_call(key), "the permitted one carries enough of the step"
+    desk.ask(key)
+    assert desk.permitted(key) == {first.life, fresh.id}
+
+
+def test_a_permission_for_a_life_that_is_gone_is_none(advised_rig):
+    first, second = advised_rig.minions
+    adviser = Adviser(first.life)
+    desk = PermissionDesk(advised_rig.dispatcher.session, adviser)
+    advised_rig.log.submit(Step(1))
+    key = (JOB, 0, 0)
+    desk.ask(key)
+    assert not desk.needs_call(key)
+    advised_rig.log.send(commands.RemoveMinion(first.life, 0))
+    assert desk.needs_call(key)
+
+
+def test_more_minions_than_one_call_takes_are_all_asked_about(advised_rig):
+    lives = [f"i-{number}" for number in range(100, 100 + 2 * MINIONS_IN_CALL)]
+    for number, life in enumerate(lives, 100):
+        minion = make_minion(number, id=life)
+        advised_rig.log.send(commands.RegisterMinion(minion, 0))
+    adviser = Adviser(lives[-1])
+    desk = PermissionDesk(advised_rig.dispatcher.session, adviser)
+    advised_rig.log.submit(Step(1))
+    key = (JOB, 0, 0)
+    for _ in range(3):
+        if desk.needs_call(key):
+            desk.ask(key)
+    assert desk.permitted(key) == {lives[-1]}
