Sight: one line tells how a lease that lapsed had been renewed

Cause: a lapse is logged as run_ended result=lapsed only; whether its renewal was lost, was given too short on a misjudged clock, or was never sent cannot be told apart afterwards. Ruled out: more lines per renewal (one a second for each VM, for a rare event). Change: run_lease_lapsed, one line per look that lists lapsed runs, with the age of the last renewal sent and of the last answered, how long that one was given for and how old the reading of the clock was.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -22,6 +22,7 @@
 from hingepitch.jobs.health import MinionHealth
 from hingepitch.jobs.look import UNCONFIRMED_SECONDS, LookDesk
 from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.renewal import RenewalBook
 from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.log import log_event
 
@@ -71,6 +72,7 @@
         self.orders = BoundedSemaphore(ORDERS_AT_ONCE)
         self.clock_offset_ms = None
         self.lease_over_at = session.started_at + session.lease_until_over_seconds
+        self.renewals = RenewalBook()
         self.answer_time = AnswerTime()
         self.met_at = lease_seconds()
         self.heard_at = 0.0
@@ -113,6 +115,7 @@
     def note_clock(self, clock_ms):
         """Learn the offset between the minion's clock and ours."""
         self.clock_offset_ms = clock_ms - lease_seconds() * 1000
+        self.renewals.note_clock(clock_ms, lease_seconds())
 
     def may_start(self, now):
         """Whether new runs may be placed here."""
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -155,12 +155,13 @@
         """Look, and take what the minion says."""
         sent_at = lease_seconds()
         taken = self.ends_taken
-        until = None
+        until = renewal = None
         # Each renewal may arrive, so each puts off the end of the lease: a
         # minion that has fallen silent gets none until it answers again.
         if self.agent.clock_offset_ms is not None and not self.agent.is_silent:
             until = self.agent.lease_until_ms()
             self.agent.extend_lease()
+            renewal = self.agent.renewals.note_sent(until, sent_at)
         order = LookOrder(self.agent.session.fence, taken, until, wait_ms)
         was_silent = self.agent.is_silent
         answer_seconds = max(ANSWER_SECONDS, self.agent.answer_time.limit_seconds)
@@ -175,6 +176,7 @@
         if wait_ms == 0:
             self.agent.answer_time.note(lease_seconds() - sent_at)
         self.take_look(look, sent_at, taken)
+        self.agent.renewals.note_answered(renewal)
         self.agent.wake.set()
         if wait_ms == 0:
             gevent.sleep(self.agent.session.look_pause_seconds)
@@ -222,9 +224,21 @@
         )
         known = tuple(end for end in ends if self.is_recorded(end))
         self.agent.session.watch.note_ends(self.agent, known)
+        self.log_lapse(known)
         if not known or self.agent.session.end_runs(known):
             self.ends_taken = max(self.ends_taken, *(one.sequence for one in ended))
 
+    def log_lapse(self, ends):
+        """Log what is known of a lease that ended runs, one line for them all."""
+        lapsed = sum(end.result is RunResult.LAPSED for end in ends)
+        if lapsed:
+            log_event(
+                "run_lease_lapsed",
+                minion=self.agent.minion.id,
+                runs=lapsed,
+                **self.agent.renewals.fields(lease_seconds()),
+            )
+
     def is_recorded(self, end):
         """Whether the log holds the run of `end` as going on."""
         run = self.agent.session.runs_of(self.agent.minion.id).get(end.task)
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -53,6 +53,7 @@
     "minion_registered": "INFO",
     "minion_removed": "INFO",
     "minion_lapsed": "WARNING",
+    "run_lease_lapsed": "WARNING",
     "run_ordered": "INFO",
     "advice_taken": "INFO",
     "pace_set": "INFO",
