A look waits a quarter of a lease at most, so that a lost one ends nothing

Cause: where only tasks that last run, a look waited 2 s and gave a lease of 4 s. One that never arrived was noticed 2.2 s later; the lease of the look before was over 0.2 s earlier. Ruled out: a renewal beside the look that waits (costs the same 7 ms and another connection); renewals to a silent minion (each puts off the restart of the tasks of a dead one); a longer lease (the same, by its length). A lost answer alone ends no lease: the renewal in that look arrived. Change: LEASE_PART 1/4. With a lease of 4 s: looks of 1 s, two in a row may be lost. Cost: 7 ms more a second on a VM with lasting tasks only; with others its looks wait 0.6 s as before. A dead VM's tasks wait 0.5 s longer in the mean, since its last renewal is 0.5 s younger.

--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -31,6 +31,14 @@
 #: leader's own loop is held for tens of milliseconds while it plans a burst.
 ANSWER_SECONDS = 0.2
 
+#: Part of a lease that a look may wait at most. Source: a look that never arrives
+#: is noticed when its wait and the time for its answer (0.2 to 0.4 s) are over,
+#: and the next one asks for life before another renews. With half of a lease of
+#: 4 s, the lease of the look before was over by then: a VM lost all its tasks by
+#: one lost look. With a quarter, two in a row may be lost. A VM where only tasks
+#: that last run is looked at once a second in place of every other (7 ms each).
+LEASE_PART = 1 / 4
+
 #: Pause after the second of two looks in a row that got no answer, in seconds.
 RETRY_SECONDS = 0.25
 
@@ -105,7 +113,8 @@
             return 0
         if RunViewStatus.STOPPED in statuses:
             return STOPPING_LOOK_MS
-        return self.agent.session.watch.look_wait_ms(self.agent)
+        wait_ms = self.agent.session.watch.look_wait_ms(self.agent)
+        return min(wait_ms, int(LEASE_PART * self.agent.session.lease_seconds * 1000))
 
     def is_in_doubt(self):
         """Whether a run may or may not be there, so that a look settles it.
--- a/tests/test_lasting_leases.py
+++ b/tests/test_lasting_leases.py
@@ -17,7 +17,11 @@
 
 import pytest
 
+from adapter.replica import LEASE_SECONDS as PLATFORM_LEASE_SECONDS
 from hingepitch.httpd import wait_until
+from hingepitch.jobs.answer import MOST_SECONDS
+from hingepitch.jobs.look import ANSWER_SECONDS, LEASE_PART, RETRY_SECONDS
+from hingepitch.jobs.session import LOOK_PAUSE_SECONDS
 from hingepitch.jobs.spec import Step
 from tests.leased_minion import LeasedMinion
 from tests.test_dispatch import SECONDS, TERMS, Rig
@@ -112,3 +116,13 @@
     assert wait_until(lambda: at_work(here, 3) == 3, SECONDS)
     session.upkeep.evacuate([leaving], is_late=False)
     assert wait_until(lambda: minions[0].stopped == [leaving.task], SECONDS)
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+def test_looks_lost_in_a_row_leave_room_in_the_lease_of_the_platform(lost):
+    """The longest time between two renewals, a prompt question between them."""
+    answer = max(ANSWER_SECONDS, MOST_SECONDS)
+    waits = LEASE_PART * PLATFORM_LEASE_SECONDS
+    retries = (lost - 1) * (answer + RETRY_SECONDS)
+    between = waits + (waits + answer) + retries + LOOK_PAUSE_SECONDS
+    assert between < PLATFORM_LEASE_SECONDS
