A stop for an upkeep is counted again when it is sent

Cause: what may be away of a step was counted when a stop was decided. The stop then waits behind two other orders to its VM, or for the leader to be confirmed; what falls silent or ends meanwhile came on top. Ruled out: an upkeep or a move that begins while a start is on its way: the log refuses the one while a run is recorded there, and the start while the VM is taken. Stops of runs in doubt: a run that was at work and is shown by a look is not in doubt. Change: RunWatch.take_back before the first sending of such a stop; one that was sent may still be carried out and stays. Its own event, evacuation_taken_back.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -275,7 +275,14 @@
         return reply
 
     def order_stop(self, view):
-        """Order the stop of a run."""
+        """Order the stop of a run, unless too many others went away meanwhile.
+
+        A stop that was sent before may still be carried out, so it is not
+        taken back.
+        """
+        if not view.is_stop_sent and self.session.watch.take_back(view.run):
+            return
+        view.is_stop_sent = True
         order = StopOrder(view.run.task, view.run.number, self.session.fence)
         reply = self.timed(self.client.stop, order)
         self.note_reply(reply)
--- a/hingepitch/jobs/runview.py
+++ b/hingepitch/jobs/runview.py
@@ -54,6 +54,7 @@
     status: RunViewStatus
     answered_at: float = 0.0
     is_ordering: bool = False
+    is_stop_sent: bool = False
     percent: int = 100
     row: object = None
     row_since: float = 0.0
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -16,6 +16,7 @@
 from hingepitch.jobs.fleet import FleetReply, VmState
 from hingepitch.jobs.record import UpkeepStage
 from hingepitch.jobs.service import wall_ms
+from hingepitch.jobs.watch import UPKEEP_REASON
 from hingepitch.log import log_event
 
 __all__ = ["UpkeepDesk", "needed_at_once", "patience_seconds"]
@@ -187,22 +188,11 @@
             if step is None:
                 continue
             if step.lasts:
-                may_stop = self.may_be_away(run, step)
+                may_stop = self.session.watch.may_be_away(run, step)
             else:
                 may_stop = is_late
             if may_stop:
-                self.session.watch.evacuate(run, "upkeep")
-
-    def may_be_away(self, run, step):
-        """Whether a lasting task may be stopped within its budget."""
-        if step.max_away is None:
-            return True
-        away = 0
-        for index in range(step.count):
-            task = run.task._replace(index=index)
-            if task != run.task and not self.session.watch.is_at_work(task):
-                away += 1
-        return away < max(1, step.max_away)
+                self.session.watch.evacuate(run, UPKEEP_REASON)
 
     # Orders to the platform.
 
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -17,7 +17,7 @@
 from hingepitch.jobs.spec import format_task
 from hingepitch.log import log_event
 
-__all__ = ["RunWatch"]
+__all__ = ["UPKEEP_REASON", "RunWatch"]
 
 #: How long a look waits at a minion where fillers run beside tasks that serve.
 #: Source: harm that lasts 4 s counts; a look, a decision and an order have to
@@ -37,6 +37,10 @@
 WARMING_LOOK_MS = 200
 WARMING_SECONDS = 2.0
 
+#: Why a run leaves that has to keep to what may be away of its step; what leaves
+#: for another reason would end anyway.
+UPKEEP_REASON = "upkeep"
+
 
 class RunWatch:
     """Judges the runs and the minions of one leadership.
@@ -44,17 +48,17 @@
     `session`
         The leadership: its table and its agents.
     `evacuated`
-        Runs that are being stopped so that they go on elsewhere, by task and
+        Why runs are being stopped so that they go on elsewhere, by task and
         number.
     """
 
     def __init__(self, session):
         self.session = session
-        self.evacuated = set()
+        self.evacuated = {}
 
     def evacuate(self, run, reason):
         """Stop a run so that it goes on elsewhere."""
-        self.evacuated.add((run.task, run.number))
+        self.evacuated[run.task, run.number] = reason
         log_event(
             "run_evacuated",
             job=run.task.job,
@@ -65,6 +69,37 @@
         )
         self.session.agent_by_minion[run.minion].wake.set()
 
+    def may_be_away(self, run, step):
+        """Whether a lasting task may be stopped within its budget."""
+        if step.max_away is None:
+            return True
+        tasks = (run.task._replace(index=index) for index in range(step.count))
+        others = (task for task in tasks if task != run.task)
+        away = sum(not self.is_at_work(task) for task in others)
+        return away < max(1, step.max_away)
+
+    def take_back(self, run):
+        """Take a stop for an upkeep back if others went away since it was decided.
+
+        It may have waited for its turn or for the leader to be confirmed.
+        Return whether it was taken back; it is decided anew later.
+        """
+        key = (run.task, run.number)
+        step = self.session.step_of(run)
+        if self.evacuated.get(key) != UPKEEP_REASON or step is None:
+            return False
+        if not step.lasts or self.may_be_away(run, step):
+            return False
+        del self.evacuated[key]
+        log_event(
+            "evacuation_taken_back",
+            job=run.task.job,
+            task=format_task(run.task),
+            run=run.number,
+            minion=run.minion,
+        )
+        return True
+
     def is_at_work(self, task):
         """Whether a lasting task is known to be at work.
 
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -60,6 +60,7 @@
     "move_step": "INFO",
     "pool_load": "INFO",
     "run_evacuated": "INFO",
+    "evacuation_taken_back": "INFO",
     "run_ended": "INFO",
     "unknown_run": "WARNING",
     "session_started": "INFO",
