What is away counts from its listed end, and a new leader lets earlier stops pass

Cause: a lasting task counted as at work until the commit of its end, so stops decided meanwhile came on top; and a new leader saw tasks at work whose stop the leader before had sent, and sent as many again. Ruled out: waiting for the commit with every stop (it would hold a wave for nothing).

--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -232,11 +232,19 @@
             for one in ended
         )
         known = tuple(end for end in ends if self.is_recorded(end))
+        self.mark_ended(known)
         self.agent.session.watch.note_ends(self.agent, known)
         self.log_lapse(known)
         if not known or self.agent.session.end_runs(known):
             self.ends_taken = max(self.ends_taken, *(one.sequence for one in ended))
 
+    def mark_ended(self, ends):
+        """Note at the views that their runs ended, before that is recorded."""
+        for end in ends:
+            view = self.agent.view_by_task.get(end.task)
+            if view is not None and view.run.number == end.number:
+                view.has_ended = True
+
     def log_lapse(self, ends):
         """Log what is known of a lease that ended runs, one line for them all."""
         lapsed = sum(end.result is RunResult.LAPSED for end in ends)
--- a/hingepitch/jobs/runview.py
+++ b/hingepitch/jobs/runview.py
@@ -44,6 +44,10 @@
     `answered_at`
         When the last order for it was answered or given up; a look that was
         sent earlier says nothing about its absence.
+    `is_stop_sent`
+        Whether a stop was sent, which may still be carried out.
+    `has_ended`
+        Whether its end was listed, recorded or not.
     `percent`
         The pace that was last ordered.
     `row`
@@ -56,5 +60,6 @@
     is_ordering: bool = False
     is_stop_sent: bool = False
     percent: int = 100
+    has_ended: bool = False
     row: object = None
     row_since: float = 0.0
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -73,11 +73,21 @@
         """Whether a lasting task may be stopped within its budget."""
         if step.max_away is None:
             return True
+        if not self.is_settled():
+            return False
         tasks = (run.task._replace(index=index) for index in range(step.count))
         others = (task for task in tasks if task != run.task)
         away = sum(not self.is_at_work(task) for task in others)
         return away < max(1, step.max_away)
 
+    def is_settled(self):
+        """Whether the stops that an earlier leader sent have been carried out.
+
+        Until then a look shows tasks at work that are about to end.
+        """
+        age = lease_seconds() - self.session.started_at
+        return age >= self.session.terms.lapse_seconds
+
     def take_back(self, run):
         """Take a stop for an upkeep back if others went away since it was decided.
 
@@ -103,14 +113,17 @@
     def is_at_work(self, task):
         """Whether a lasting task is known to be at work.
 
-        What a minion said before it fell silent does not count.
+        What a minion said before it fell silent does not count, and an end
+        counts from when it is listed, though its record takes a commit.
         """
         run = self.session.table.run_by_task.get(task)
         agent = run and self.session.agent_by_minion.get(run.minion)
-        if not agent or agent.is_silent:
+        if not agent or agent.is_silent or agent.is_gone:
             return False
         view = agent.view_by_task.get(task)
-        if not view or view.row is None or view.row.percent < 100:
+        if not view or view.has_ended:
+            return False
+        if view.row is None or view.row.percent < 100:
             return False
         is_running = view.status is RunViewStatus.RUNNING
         return is_running and (task, run.number) not in self.evacuated
--- a/tests/test_lasting_leases.py
+++ b/tests/test_lasting_leases.py
@@ -16,11 +16,13 @@
 from dataclasses import replace
 
 import pytest
+from gevent.event import Event
 
 from adapter.replica import LEASE_SECONDS as PLATFORM_LEASE_SECONDS
 from hingepitch.httpd import wait_until
 from hingepitch.jobs.answer import MOST_SECONDS
 from hingepitch.jobs.look import ANSWER_SECONDS, LEASE_PART, RETRY_SECONDS
+from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.session import LOOK_PAUSE_SECONDS
 from hingepitch.jobs.spec import Step
 from tests.leased_minion import LeasedMinion
@@ -126,3 +128,39 @@
     retries = (lost - 1) * (answer + RETRY_SECONDS)
     between = waits + (waits + answer) + retries + LOOK_PAUSE_SECONDS
     assert between < PLATFORM_LEASE_SECONDS
+
+
+def test_a_task_whose_end_is_listed_is_away_though_the_end_is_not_recorded(rig):
+    minion = LeasedMinion()
+    here = rig(minion)
+    here.submit(Step(1, lasts=True, max_away=1))
+    assert wait_until(lambda: at_work(here, 1) == 1, SECONDS)
+    may_commit, commit, waiting = Event(), here.replica.propose, []
+
+    def propose_late(envelope):
+        waiting.append(envelope)
+        may_commit.wait()
+        return commit(envelope)
+
+    here.replica.propose = propose_late
+    minion.end(task(), 1, RunResult.LAPSED)
+    assert wait_until(lambda: waiting, SECONDS)
+    assert at_work(here, 1) == 0
+    may_commit.set()
+    assert wait_until(lambda: len(minion.begun) == 2, SECONDS)
+
+
+@pytest.mark.parametrize("is_settled", [False, True])
+def test_a_new_leader_waits_for_the_stops_of_the_one_before(rig, is_settled):
+    minions = [LeasedMinion() for _ in range(2)]
+    here = rig(*minions, terms=replace(LEASE_TERMS, lapse_seconds=60.0))
+    here.submit(Step(2, lasts=True, max_away=1, max_per_minion=1))
+    assert wait_until(lambda: at_work(here, 2) == 2, SECONDS)
+    here.lead_again()
+    assert wait_until(lambda: at_work(here, 2) == 2, SECONDS)
+    session = here.dispatcher.session
+    if is_settled:
+        session.started_at -= 60.0
+    run = here.log.table.run_by_task[task()]
+    session.upkeep.evacuate([run], is_late=False)
+    assert ((run.task, run.number) in session.watch.evacuated) is is_settled
