--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -21,7 +21,9 @@
 from hingepitch.jobs.contact import PaceOrder, Reply, ReplyKind, StopOrder
 from hingepitch.jobs.health import MinionHealth
 from hingepitch.jobs.look import UNCONFIRMED_SECONDS, LookDesk
+from hingepitch.jobs.offset import ClockOffset
 from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.renewal import RenewalBook
 from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.log import log_event
 
@@ -69,8 +71,9 @@
         self.view_by_task = {}
         self.wake = Event()
         self.orders = BoundedSemaphore(ORDERS_AT_ONCE)
-        self.clock_offset_ms = None
+        self.clock_offset = ClockOffset(session.terms.drift)
         self.lease_over_at = session.started_at + session.lease_until_over_seconds
+        self.renewals = RenewalBook()
         self.answer_time = AnswerTime()
         self.met_at = lease_seconds()
         self.heard_at = 0.0
@@ -114,7 +117,14 @@
 
     def note_clock(self, clock_ms):
         """Learn the offset between the minion's clock and ours."""
-        self.clock_offset_ms = clock_ms - lease_seconds() * 1000
+        now = lease_seconds()
+        self.clock_offset.note(clock_ms, now)
+        self.renewals.note_clock(clock_ms, now)
+
+    @property
+    def clock_offset_ms(self):
+        """How far the minion's clock is ahead of ours at least, or None."""
+        return self.clock_offset.at(lease_seconds())
 
     def may_start(self, now):
         """Whether new runs may be placed here."""
@@ -267,7 +277,14 @@
         return reply
 
     def order_stop(self, view):
-        """Order the stop of a run."""
+        """Order the stop of a run, unless too many others went away meanwhile.
+
+        A stop that was sent before may still be carried out, so it is not
+        taken back.
+        """
+        if not view.is_stop_sent and self.session.watch.take_back(view.run):
+            return
+        view.is_stop_sent = True
         order = StopOrder(view.run.task, view.run.number, self.session.fence)
         reply = self.timed(self.client.stop, order)
         self.note_reply(reply)
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -31,6 +31,14 @@
 #: leader's own loop is held for tens of milliseconds while it plans a burst.
 ANSWER_SECONDS = 0.2
 
+#: Part of a lease that a look may wait at most. Source: a look that never arrives
+#: is noticed when its wait and the time for its answer (0.2 to 0.4 s) are over,
+#: and the next one asks for life before another renews. With half of a lease of
+#: 4 s, the lease of the look before was over by then: a VM lost all its tasks by
+#: one lost look. With a quarter, two in a row may be lost. A VM where only tasks
+#: that last run is looked at once a second in place of every other (7 ms each).
+LEASE_PART = 1 / 4
+
 #: Pause after the second of two looks in a row that got no answer, in seconds.
 RETRY_SECONDS = 0.25
 
@@ -113,7 +121,8 @@
             return 0
         if RunViewStatus.STOPPED in statuses:
             return STOPPING_LOOK_MS
-        return self.agent.session.watch.look_wait_ms(self.agent)
+        wait_ms = self.agent.session.watch.look_wait_ms(self.agent)
+        return min(wait_ms, int(LEASE_PART * self.agent.session.lease_seconds * 1000))
 
     def is_in_doubt(self):
         """Whether a run may or may not be there, so that a look settles it.
@@ -163,7 +172,7 @@
         """Look, and take what the minion says."""
         sent_at = lease_seconds()
         taken = self.ends_taken
-        until = None
+        until = renewal = None
         # Each renewal may arrive, so each puts off the end of the lease: a
         # minion that fell silent, or refused a look, gets none until it lists
         # its runs again.
@@ -171,6 +180,7 @@
         if self.agent.clock_offset_ms is not None and is_listing:
             until = self.agent.lease_until_ms()
             self.agent.extend_lease()
+            renewal = self.agent.renewals.note_sent(until, sent_at)
         order = LookOrder(self.agent.session.fence, taken, until, wait_ms)
         answer_seconds = max(ANSWER_SECONDS, self.agent.answer_time.limit_seconds)
         look = self.agent.client.look(order, wait_ms / 1000 + answer_seconds)
@@ -186,6 +196,7 @@
         if wait_ms == 0:
             self.agent.answer_time.note(lease_seconds() - sent_at)
         self.take_look(look, sent_at, taken)
+        self.agent.renewals.note_answered(renewal)
         self.agent.wake.set()
         if wait_ms == 0:
             gevent.sleep(self.agent.session.look_pause_seconds)
@@ -233,10 +244,30 @@
             for one in ended
         )
         known = tuple(end for end in ends if self.is_recorded(end))
+        self.mark_ended(known)
         self.agent.session.watch.note_ends(self.agent, known)
+        self.log_lapse(known)
         if not known or self.agent.session.end_runs(known):
             self.ends_taken = max(self.ends_taken, *(one.sequence for one in ended))
 
+    def mark_ended(self, ends):
+        """Note at the views that their runs ended, before that is recorded."""
+        for end in ends:
+            view = self.agent.view_by_task.get(end.task)
+            if view is not None and view.run.number == end.number:
+                view.has_ended = True
+
+    def log_lapse(self, ends):
+        """Log what is known of a lease that ended runs, one line for them all."""
+        lapsed = sum(end.result is RunResult.LAPSED for end in ends)
+        if lapsed:
+            log_event(
+                "run_lease_lapsed",
+                minion=self.agent.minion.id,
+                runs=lapsed,
+                **self.agent.renewals.fields(lease_seconds()),
+            )
+
     def is_recorded(self, end):
         """Whether the log holds the run of `end` as going on."""
         run = self.agent.session.runs_of(self.agent.minion.id).get(end.task)
