An answer takes back what a wrong reading of a minion's clock proved

The largest offset ever proved would be kept for the whole of a life, also one that came of a heartbeat with a wrong clock: leases would then outlive what the leader counts on, and a run might be given up while it goes on. An answer to a look bounds the offset from above. Tests: tests/test_offset.py, red without.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -115,10 +115,10 @@
         if clock_ms is not None:
             self.note_clock(clock_ms)
 
-    def note_clock(self, clock_ms):
+    def note_clock(self, clock_ms, asked_at=None):
         """Learn the offset between the minion's clock and ours."""
         now = lease_seconds()
-        self.clock_offset.note(clock_ms, now)
+        self.clock_offset.note(clock_ms, now, asked_at)
         self.renewals.note_clock(clock_ms, now)
 
     @property
@@ -311,8 +311,12 @@
             reply=reply.kind.value,
         )
 
-    def note_reply(self, reply):
-        """Learn from any answer of the minion."""
+    def note_reply(self, reply, asked_at=None):
+        """Learn from any answer of the minion.
+
+        `asked_at`
+            When the call was sent, where that is known.
+        """
         if reply.kind in (ReplyKind.UNSURE, ReplyKind.NOT_SENT):
             self.note_silence(True)
             self.looks.wake.set()
@@ -320,7 +324,7 @@
         self.note_silence(False)
         self.heard_at = lease_seconds()
         if reply.clock_ms is not None:
-            self.note_clock(reply.clock_ms)
+            self.note_clock(reply.clock_ms, asked_at)
         if reply.kind is ReplyKind.OTHER_LIFE:
             # Not gone until that is recorded: nobody else would try again.
             self.is_gone = self.session.life_is_over(
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -184,7 +184,7 @@
         order = LookOrder(self.agent.session.fence, taken, until, wait_ms)
         answer_seconds = max(ANSWER_SECONDS, self.agent.answer_time.limit_seconds)
         look = self.agent.client.look(order, wait_ms / 1000 + answer_seconds)
-        self.agent.note_reply(look.reply)
+        self.agent.note_reply(look.reply, sent_at)
         is_done = look.reply.kind is ReplyKind.DONE
         self.was_refused = not is_done and not self.agent.is_silent
         if not is_done:
--- a/hingepitch/jobs/offset.py
+++ b/hingepitch/jobs/offset.py
@@ -10,6 +10,10 @@
 
 __all__ = ["ClockOffset"]
 
+#: What the rounding of a minion's clock to whole milliseconds may take from an
+#: answer's proof of a largest offset.
+ROUNDING_MS = 1
+
 
 class ClockOffset:
     """The largest offset that the messages of one life of a minion prove.
@@ -19,6 +23,10 @@
     too large. So each proves a least offset, and the largest of them is the
     nearest. A lease given by it ends on time or early, never late.
 
+    The answer to a call proves a largest offset too: its clock was read after
+    the call was sent. What is known above that came of a reading that was
+    wrong, and is forgotten: it would make leases outlive what is counted on.
+
     `drift`
         Part by which the minion's clock may be slower than ours; what was
         proved is worth less by as much, the older it is.
@@ -29,15 +37,26 @@
         self.proved_ms = None
         self.proved_at = 0.0
 
-    def note(self, clock_ms, now):
-        """Note a message that was read at `now`, in seconds of our clock."""
+    def note(self, clock_ms, now, asked_at=None):
+        """Note a message that was read at `now`, in seconds of our clock.
+
+        `asked_at`
+            When the call was sent that it answers, if it is an answer.
+        """
         offset_ms = clock_ms - now * 1000
         known_ms = self.at(now)
         if known_ms is None or offset_ms >= known_ms:
             self.proved_ms, self.proved_at = offset_ms, now
+        elif asked_at is not None and known_ms > most_ms(clock_ms, asked_at):
+            self.proved_ms, self.proved_at = offset_ms, now
 
     def at(self, now):
         """Return the offset at `now` in milliseconds; None: nothing is known."""
         if self.proved_ms is None:
             return None
         return self.proved_ms - self.drift * (now - self.proved_at) * 1000
+
+
+def most_ms(clock_ms, asked_at):
+    """Return the largest offset that an answer to a call leaves possible."""
+    return clock_ms - asked_at * 1000 + ROUNDING_MS
--- a/tests/test_offset.py
+++ b/tests/test_offset.py
@@ -43,3 +43,17 @@
         assert offset.at(now) <= true_ms + 1e-3
         if step >= 10:
             assert offset.at(now) >= true_ms - DRIFT * 5 * 1000 - 1
+
+
+def test_an_answer_takes_back_what_a_wrong_reading_proved():
+    offset = ClockOffset(DRIFT)
+    offset.note(AHEAD_MS + 60_000, 10.0)  # The clock of another writer.
+    offset.note(AHEAD_MS + 10_600, 11.0, asked_at=10.5)
+    assert offset.at(11.0) == pytest.approx(AHEAD_MS - 400)
+
+
+def test_an_answer_that_took_long_takes_nothing_true_back():
+    offset = ClockOffset(DRIFT)
+    offset.note(AHEAD_MS + 10_000, 10.0)
+    offset.note(AHEAD_MS + 10_500, 12.0, asked_at=10.5)
+    assert offset.at(12.0) == pytest.approx(AHEAD_MS - DRIFT * 2000)
