--- a/standin/faults.py
+++ b/standin/faults.py
@@ -351,9 +351,75 @@
     Fault(
         "jobs",
         "what a silent minion said last is believed",
-        (("jobs/watch.py", "if not agent or agent.is_silent:", "if not agent:"),),
+        (
+            (
+                "jobs/watch.py",
+                "if not agent or agent.is_silent or agent.is_gone:",
+                "if not agent:",
+            ),
+        ),
         "on_a_silent_minion",
     ),
+    Fault(
+        "jobs",
+        "a lost look ends the lease of the look before",
+        (("jobs/look.py", "LEASE_PART = 1 / 4", "LEASE_PART = 1 / 2"),),
+        "a_look_that_never_arrives",
+    ),
+    Fault(
+        "jobs",
+        "a beat read late makes the next leases shorter",
+        (
+            (
+                "jobs/offset.py",
+                "if known_ms is None or offset_ms >= known_ms:",
+                "if True:",
+            ),
+        ),
+        "a_beat_that_was_held_back",
+    ),
+    Fault(
+        "jobs",
+        "an order under way keeps a run whose lease is over",
+        (
+            (
+                "jobs/look.py",
+                "if view.status in UNSETTLED_STARTS:\n                kept",
+                "if view.is_ordering:\n                kept",
+            ),
+        ),
+        "a_stop_without_an_answer",
+    ),
+    Fault(
+        "jobs",
+        "a minion that cannot be called ends the session",
+        (
+            (
+                "jobs/session.py",
+                "except ValueError as error:",
+                "except OSError as error:",
+            ),
+        ),
+        "that_cannot_be_called_holds",
+    ),
+    Fault(
+        "jobs",
+        "an unknown state makes a minion",
+        (("../platform/adapter/wire.py", 'Literal["ready", "draining"]', "str"),),
+        "a_strange_heartbeat_makes",
+    ),
+    Fault(
+        "config",
+        "nothing is sent while the whole state is on its way",
+        (
+            (
+                "control/consensus.py",
+                "self.send_round(identity, self.log.start_index, self.log.start_term)",
+                "pass",
+            ),
+        ),
+        "while_the_state_is_on_its_way",
+    ),
     Fault(
         "jobs",
         "tasks start on minions that drain",
