A life that would end another is believed only if it answers itself

Ruled out: recognizing the order of lives by their clocks (each begins anew) or their addresses (each life may have another).

Change: a heartbeat of a life that is not known, on a VM that has another one, is taken once a call to that life is answered by it; otherwise it is refused, and a sound life beats again at another replica. It costs one call for each life that follows another without its removal having been recorded (crashes, upkeeps). A constant moves where tests can read it without patching the process.

--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -50,6 +50,7 @@
         self.metrics = metrics or Metrics("dispatch")
         self.session = None
         roster.on_beat = self.note_beat
+        roster.is_present = self.is_present
 
     def run(self):
         """Wait for the leadership and use it, again and again."""
@@ -94,3 +95,7 @@
         """Pass a beat on to the session, if there is one."""
         if self.session is not None:
             self.session.note_beat(minion_id, clock_ms)
+
+    def is_present(self, minion):
+        """Whether a life answers a call now; False while nobody may call it."""
+        return self.session is not None and self.session.is_present(minion)
--- a/hingepitch/jobs/roster.py
+++ b/hingepitch/jobs/roster.py
@@ -17,11 +17,15 @@
     `on_beat`
         Function of a life and its clock, called for each new beat; set by
         the dispatcher.
+    `is_present`
+        Function of a `Minion`: whether that life answers a call now; set by
+        the dispatcher.
     """
 
     def __init__(self):
         self.sequence_by_minion = {}
         self.on_beat = None
+        self.is_present = None
 
     def clear(self):
         """Forget everything; another leadership begins."""
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -213,6 +213,8 @@
         if minion.id in self.table.ended_lives:
             return
         self.need_pool(minion)
+        if known is None:
+            self.need_present(minion)
         if not self.roster.note(question):
             return
         if known != minion:
@@ -227,6 +229,20 @@
             )
         self.roster.tell(minion.id, question.clock_ms)
 
+    def need_present(self, minion):
+        """Refuse a life that would end another one and does not answer itself.
+
+        Its heartbeat may have been held back since before the other life began:
+        ended by it, the runs of the other were started a second time. A life
+        that is sound beats again, or at another replica.
+        """
+        other = self.table.life_by_vm.get(minion.vm)
+        if other is not None and not self.roster.is_present(minion):
+            log_event("life_not_present", minion=minion.id, vm=minion.vm, other=other)
+            raise HingepitchError(
+                "no_leader", "the life does not answer", RETRY_AFTER_MS
+            )
+
     def need_pool(self, minion):
         """Refuse a minion of a pool that the configuration does not name."""
         config = self.table.config
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -16,8 +16,9 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.agent import Agent
+from hingepitch.jobs.answer import MOST_SECONDS
 from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
-from hingepitch.jobs.contact import StartOrder
+from hingepitch.jobs.contact import LookOrder, ReplyKind, StartOrder
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
 from hingepitch.jobs.load import measure_pools
@@ -51,6 +52,9 @@
 #: Time between two log lines on the load of a pool, in seconds.
 LOAD_SECONDS = 1.0
 
+#: Replies that do not come from the life that was called.
+ABSENT_KINDS = frozenset((ReplyKind.UNSURE, ReplyKind.NOT_SENT, ReplyKind.OTHER_LIFE))
+
 #: Pause between two looks that do not wait, in seconds.
 LOOK_PAUSE_SECONDS = 0.1
 
@@ -437,17 +441,34 @@
         """
         if self.uncallable.get(minion.id) == minion.address:
             return None
-        try:
-            client = self.connect(minion)
-        except ValueError as error:
+        client = self.make_client(minion)
+        if client is None:
             self.uncallable[minion.id] = minion.address
-            log_event("minion_uncallable", minion=minion.id, error=error)
             self.spawn(self.remove_uncallable, minion)
             return None
         agent = self.agent_by_minion[minion.id] = Agent(minion, client, self)
         agent.start()
         return agent
 
+    def make_client(self, minion):
+        """Return a client of a minion, or None if its address cannot be called."""
+        try:
+            return self.connect(minion)
+        except ValueError as error:
+            log_event("minion_uncallable", minion=minion.id, error=error)
+            return None
+
+    def is_present(self, minion):
+        """Whether a life that has no agent answers a call now."""
+        client = self.make_client(minion) if self.may_order() else None
+        if client is None:
+            return False
+        try:
+            look = client.look(LookOrder(self.fence, 0), MOST_SECONDS)
+        finally:
+            client.close()
+        return look.reply.kind not in ABSENT_KINDS
+
     def remove_uncallable(self, minion):
         """End a life that still cannot be called once its lease is surely over.
 
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -56,6 +56,7 @@
     "minion_answers": "INFO",
     "minion_lapsed": "WARNING",
     "minion_uncallable": "WARNING",
+    "life_not_present": "WARNING",
     "rows_unread": "WARNING",
     "run_lease_lapsed": "WARNING",
     "run_ordered": "INFO",
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -408,6 +408,12 @@
         (("../platform/adapter/wire.py", 'Literal["ready", "draining"]', "str"),),
         "a_strange_heartbeat_makes",
     ),
+    Fault(
+        "jobs",
+        "a late heartbeat of an earlier life is believed",
+        (("jobs/service.py", "if other is not None and not", "if False and not"),),
+        "of_an_earlier_life_ends_nothing",
+    ),
     Fault(
         "config",
         "nothing is sent while the whole state is on its way",
--- a/tests/test_lasting_leases.py
+++ b/tests/test_lasting_leases.py
@@ -18,7 +18,7 @@
 import pytest
 from gevent.event import Event
 
-from adapter.replica import LEASE_SECONDS as PLATFORM_LEASE_SECONDS
+from adapter.settings import LEASE_SECONDS as PLATFORM_LEASE_SECONDS
 from hingepitch.httpd import wait_until
 from hingepitch.jobs.answer import MOST_SECONDS
 from hingepitch.jobs.look import ANSWER_SECONDS, LEASE_PART, RETRY_SECONDS
