A connection that neither comes about nor fails no longer holds a call for good

Cause: the time-out of a connection to a minion does not cover the reading of its address, which gevent gives to a thread even for a number; and the time of a call begins after it. A look that hung there would have held its minion's looks for the rest of the leadership. Change: taking a connection ends after MAX_CONNECT_SECONDS, whatever it waits for. Conclusion: no wait of a look is without an end now.

--- a/hingepitch/exchange.py
+++ b/hingepitch/exchange.py
@@ -186,7 +186,10 @@
             if since > horizon and not is_readable(sock):
                 return sock
             sock.close()
-        sock = socket.create_connection(self.address, MAX_CONNECT_SECONDS)
+        # The time-out of the connection does not cover the reading of the
+        # address, which goes through a thread.
+        with gevent.Timeout(MAX_CONNECT_SECONDS, TimeoutError("no connection in time")):
+            sock = socket.create_connection(self.address, MAX_CONNECT_SECONDS)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
         return sock
--- a/tests/test_silent_minion.py
+++ b/tests/test_silent_minion.py
@@ -20,12 +20,15 @@
 import gevent
 import pytest
 
+from hingepitch import exchange as exchange_module
+from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.contact import Look, Reply, ReplyKind
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.spec import Step
+from hingepitch.request import Failure, Request, Run
 from tests.memory_minion import MemoryMinion
 from tests.test_dispatch import SECONDS, Rig
 from tests.test_job_rules import make_minion, task
@@ -183,3 +186,16 @@
     agent_of(here, busy).set_aside(60)
     assert wait_until(lambda: free.begun, NEXT_RUN_SECONDS)
     assert free.begun[0][2] * 1000 > busy.until_ms
+
+
+def test_a_connection_that_never_comes_about_does_not_hold_a_call(monkeypatch):
+    monkeypatch.setattr(
+        exchange_module.socket, "create_connection", lambda *_: gevent.sleep(60)
+    )
+    connections = exchange_module.MinionConnections(("127.0.0.1", 1))
+    request = Request("", "POST", "/", [], b"", lease_seconds() + 0.4)
+    began = lease_seconds()
+    with gevent.Timeout(SECONDS):
+        answer = connections.exchange(request)
+    assert isinstance(answer, Failure) and answer.run is Run.NOT_RUN
+    assert lease_seconds() - began < 2 * exchange_module.MAX_CONNECT_SECONDS
