No start is ordered at a minion that is silent

Cause: runs recorded on a minion before it fell silent were still ordered there, two at a time, each without an answer, and each put the end of the lease off by a whole lease: all other runs there waited for theirs. Ruled out: looks, which give no lease while the minion is silent. Change: such a run, which was never ordered, ends as refused and is placed elsewhere. The new test failed before and passes after; test_silent_minion, test_load_lost_answers, test_dispatch, test_load_wave and test_load_large_fleet 59 passed.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -204,7 +204,10 @@
 
     def order_start(self, view):
         """Order the start of a run, and learn what became of it."""
-        order = self.session.start_order(view.run, self.lease_until_ms())
+        # A start at a silent minion would put the end of its lease off.
+        order = None
+        if not self.is_silent:
+            order = self.session.start_order(view.run, self.lease_until_ms())
         if order is None:
             self.end(view, RunResult.REFUSED)
             return
--- a/tests/test_silent_minion.py
+++ b/tests/test_silent_minion.py
@@ -33,6 +33,8 @@
 from tests.test_dispatch import SECONDS, Rig
 from tests.test_job_rules import make_minion, task
 
+OTHER_JOB = "00000000000000bb"
+
 #: A run that is given up has its next one within this time, in seconds: the
 #: lease of `TERMS` with what is added until it is surely over (1.2 s), two
 #: calls without an answer, and what a loaded test machine adds.
@@ -199,3 +201,17 @@
         answer = connections.exchange(request)
     assert isinstance(answer, Failure) and answer.run is Run.NOT_RUN
     assert lease_seconds() - began < 2 * exchange_module.MAX_CONNECT_SECONDS
+
+
+def test_no_start_is_ordered_at_a_silent_minion(pair):
+    here, busy, free = pair
+    agent = agent_of(here, busy)
+    busy.is_mute = True
+    assert wait_until(lambda: agent.is_silent, SECONDS)
+    lease_over_at = agent.lease_over_at
+    keys = [task(index=index, job=OTHER_JOB) for index in range(4)]
+    assert here.log.submit(Step(4), job=OTHER_JOB) == ""
+    here.log.start(*keys, minion=busy.life)
+    here.replica.wake()
+    assert wait_until(lambda: len(free.running) >= len(keys), SECONDS)
+    assert agent.lease_over_at == lease_over_at
