A step with advice whose pool is empty no longer holds the leader's process

Cause: the loop that asks for permissions pauses only after a turn in which nothing was asked, and counted a step without any minion to ask about as asked: it never gave way, so the process did nothing else, and the next leader the same. Found while looking for other waits without an end. Change: ask returns whether it asked.

--- a/hingepitch/jobs/permission.py
+++ b/hingepitch/jobs/permission.py
@@ -69,8 +69,7 @@
             asked = False
             for step_key in list(self.session.table.ready_steps):
                 if self.needs_call(step_key):
-                    self.ask(step_key)
-                    asked = True
+                    asked = self.ask(step_key) or asked
             self.forget()
             if not asked:
                 gevent.sleep(IDLE_SECONDS)
@@ -85,18 +84,18 @@
         return self.advice_of(step_key) is not None and not self.permitted(step_key)
 
     def ask(self, step_key):
-        """Ask about one step; keep what is permitted."""
+        """Ask about one step; keep what is permitted; return whether it was asked."""
         lives = self.candidates(step_key)
         if not lives:
-            return
+            return False
         sent_at = lease_seconds()
         ticket_by_life = self.adviser.advise(step_key, lives, CALL_SECONDS)
         if ticket_by_life is None:
             gevent.sleep(RETRY_SECONDS)
-            return
+            return True
         terms = self.advice_of(step_key)
         if terms is None:
-            return
+            return True
         until = sent_at + terms.valid_ms / 1000
         self.permissions_by_step[step_key] = {
             life: Permission(ticket, until) for life, ticket in ticket_by_life.items()
@@ -105,6 +104,7 @@
             "advice_taken", job=step_key[0], asked=len(lives), good=len(ticket_by_life)
         )
         self.session.woken.set()
+        return True
 
     def candidates(self, step_key):
         """Return the lives to ask about, those with the most room first."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -86,3 +86,25 @@
     adviser.good = [minion.life for minion in advised_rig.minions]
     advised_rig.wait_status(JobStatus.SUCCEEDED)
     assert adviser.calls[0][0] == (JOB, 0, 0)
+
+
+class CountedDesk(PermissionDesk):
+    """Counts its turns, and fails before it holds the process for good."""
+
+    turns = 0
+
+    def forget(self):
+        super().forget()
+        self.turns += 1
+        assert self.turns < 1000, "turns without giving way"
+
+
+def test_a_step_whose_pool_is_empty_does_not_hold_the_process(advised_rig):
+    for minion in advised_rig.minions:
+        advised_rig.log.send(commands.RemoveMinion(minion.life, 0))
+    advised_rig.submit(Step(1))
+    desk = CountedDesk(advised_rig.dispatcher.session, Adviser())
+    asking = gevent.spawn(desk.run)
+    assert wait_until(lambda: desk.turns > 2, SECONDS)
+    assert not asking.dead
+    asking.kill()
