Lapsed minions are taken off on a line of their own

Change: the line is as it was, the lapsed ones come off in the next; the stand-in session of test_load_large_fleet has agents, its checks are unchanged.

--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -178,8 +178,9 @@
                 view.idle = list(self.idle_of(minions_by_pool[pool.name], taken, now))
                 view.present = load.minions + self.incoming(pool.name)
                 view.present -= self.outgoing(pool.name)
-                gone = in_upkeep | self.lapsed_vms(minions_by_pool[pool.name], now)
-                view.present -= away(minions_by_pool[pool.name], gone)
+                view.present -= away(minions_by_pool[pool.name], in_upkeep)
+                lapsed = self.lapsed_vms(minions_by_pool[pool.name], now) - in_upkeep
+                view.present -= away(minions_by_pool[pool.name], lapsed)
             view.kinds = frozenset(minion.kind for minion in minions_by_pool[pool.name])
             yield view
 
--- a/tests/test_load_large_fleet.py
+++ b/tests/test_load_large_fleet.py
@@ -50,6 +50,7 @@
     session = SimpleNamespace(
         table=table,
         durations=Durations(),
+        agent_by_minion={},
         upkeep=SimpleNamespace(leaving_since_by_vm={}),
         measure_pools=lambda: measure_pools(table, 0, Durations()),
     )
