--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -141,6 +141,10 @@
             )
         )
 
+    def has_lapsed(self, now):
+        """Whether the minion is silent and nothing runs there any more."""
+        return self.is_silent and now >= self.lease_over_at
+
     def set_aside(self, seconds=ASIDE_SECONDS):
         """Place nothing here for a while."""
         self.aside_until = lease_seconds() + seconds
@@ -214,7 +218,10 @@
 
     def order_start(self, view):
         """Order the start of a run, and learn what became of it."""
-        order = self.session.start_order(view.run, self.lease_until_ms())
+        # A start at a silent minion would put the end of its lease off.
+        order = None
+        if not self.is_silent:
+            order = self.session.start_order(view.run, self.lease_until_ms())
         if order is None:
             self.end(view, RunResult.REFUSED)
             return
--- a/tests/test_silent_minion.py
+++ b/tests/test_silent_minion.py
@@ -20,16 +20,21 @@
 import gevent
 import pytest
 
+from hingepitch import exchange as exchange_module
+from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.contact import Look, Reply, ReplyKind
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.spec import Step
+from hingepitch.request import Failure, Request, Run
 from tests.memory_minion import MemoryMinion
 from tests.test_dispatch import SECONDS, Rig
 from tests.test_job_rules import make_minion, task
 
+OTHER_JOB = "00000000000000bb"
+
 #: A run that is given up has its next one within this time, in seconds: the
 #: lease of `TERMS` with what is added until it is surely over (1.2 s), two
 #: calls without an answer, and what a loaded test machine adds.
@@ -183,3 +188,48 @@
     agent_of(here, busy).set_aside(60)
     assert wait_until(lambda: free.begun, NEXT_RUN_SECONDS)
     assert free.begun[0][2] * 1000 > busy.until_ms
+
+
+def test_a_connection_that_never_comes_about_does_not_hold_a_call(monkeypatch):
+    monkeypatch.setattr(
+        exchange_module.socket, "create_connection", lambda *_: gevent.sleep(60)
+    )
+    connections = exchange_module.MinionConnections(("127.0.0.1", 1))
+    request = Request("", "POST", "/", [], b"", lease_seconds() + 0.4)
+    began = lease_seconds()
+    with gevent.Timeout(SECONDS):
+        answer = connections.exchange(request)
+    assert isinstance(answer, Failure) and answer.run is Run.NOT_RUN
+    assert lease_seconds() - began < 2 * exchange_module.MAX_CONNECT_SECONDS
+
+
+def test_no_start_is_ordered_at_a_silent_minion(pair):
+    here, busy, free = pair
+    agent = agent_of(here, busy)
+    busy.is_mute = True
+    assert wait_until(lambda: agent.is_silent, SECONDS)
+    lease_over_at = agent.lease_over_at
+    keys = [task(index=index, job=OTHER_JOB) for index in range(4)]
+    assert here.log.submit(Step(4), job=OTHER_JOB) == ""
+    here.log.start(*keys, minion=busy.life)
+    here.replica.wake()
+    assert wait_until(lambda: len(free.running) >= len(keys), SECONDS)
+    assert agent.lease_over_at == lease_over_at
+
+
+def test_a_lapsed_minion_is_not_counted_as_present_in_its_pool(pair):
+    here, busy, _ = pair
+    desk = here.dispatcher.session.mover
+    agent = agent_of(here, busy)
+
+    def present():
+        (view,) = desk.views(here.log.table.config, lease_seconds())
+        return view.present
+
+    assert present() == 2
+    busy.is_mute = True
+    assert wait_until(lambda: agent.is_silent, SECONDS)
+    assert present() == 2
+    assert wait_until(lambda: present() == 1, NEXT_RUN_SECONDS)
+    busy.is_mute = False
+    assert wait_until(lambda: present() == 2, SECONDS)
