--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -118,10 +118,10 @@
         """
         run = self.session.table.run_by_task.get(task)
         agent = run and self.session.agent_by_minion.get(run.minion)
-        if not agent or agent.is_silent or agent.is_gone:
+        if not agent or agent.is_silent:
             return False
         view = agent.view_by_task.get(task)
-        if not view or view.has_ended:
+        if agent.is_gone or not view or view.has_ended:
             return False
         if view.row is None or view.row.percent < 100:
             return False
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -354,6 +354,36 @@
         (("jobs/watch.py", "if not agent or agent.is_silent:", "if not agent:"),),
         "on_a_silent_minion",
     ),
+    Fault(
+        "jobs",
+        "a look waits half a lease",
+        (("jobs/look.py", "LEASE_PART = 1 / 4", "LEASE_PART = 1 / 2"),),
+        "a_look_that_never_arrives",
+    ),
+    Fault(
+        "jobs",
+        "a clock that was read late is believed",
+        (("jobs/offset.py", "known_ms is None or offset_ms >= known_ms", "True"),),
+        "a_beat_that_was_held_back",
+    ),
+    Fault(
+        "jobs",
+        "a stop that had to wait is not counted again",
+        (("jobs/agent.py", "if not view.is_stop_sent and", "if False and"),),
+        "a_stop_that_had_to_wait",
+    ),
+    Fault(
+        "jobs",
+        "a task is at work until its end is recorded",
+        (("jobs/watch.py", "or not view or view.has_ended", "or not view"),),
+        "whose_end_is_listed",
+    ),
+    Fault(
+        "jobs",
+        "a new leader does not wait for earlier stops",
+        (("jobs/watch.py", "if not self.is_settled():", "if False:"),),
+        "waits_for_the_stops",
+    ),
     Fault(
         "jobs",
         "tasks start on minions that drain",
