--- a/standin/faults.py
+++ b/standin/faults.py
@@ -426,6 +426,24 @@
         ),
         "while_the_state_is_on_its_way",
     ),
+    Fault(
+        "jobs",
+        "a stop that had to wait is not counted again",
+        (("jobs/agent.py", "if not view.is_stop_sent and", "if False and"),),
+        "a_stop_that_had_to_wait",
+    ),
+    Fault(
+        "jobs",
+        "a task is at work until its end is recorded",
+        (("jobs/watch.py", "or not view or view.has_ended", "or not view"),),
+        "whose_end_is_listed",
+    ),
+    Fault(
+        "jobs",
+        "a new leader does not wait for earlier stops",
+        (("jobs/watch.py", "if not self.is_settled():", "if False:"),),
+        "waits_for_the_stops",
+    ),
     Fault(
         "jobs",
         "tasks start on minions that drain",
