--- a/tests/test_waiting_beside_room.py
+++ b/tests/test_waiting_beside_room.py
@@ -1,20 +1,25 @@
 """A task never waits for ever beside room that it could use.
 
 Seen: at the end of a day a task of an accepted job could run and did not,
-while most of the room of its pool was free. What the task asked for is not
-known. How such waits come about: something waits for a condition that nobody
-brings about. Here: a step that wants one rack waited for a rack that tasks
-that last would never leave, or for room beside its own tasks that last.
-Proof: the property below, over pools with tasks that last in every rack.
+while most of the room of its pool was free. How it came about, in days of our
+own: a wave emptied a VM and stopped its task, the VM was lost for good, and the
+stop without an answer kept the run recorded beyond its lease. Cause: something
+waits for a condition that nobody brings about. The same was sought elsewhere: a
+step that wants one rack waited for a rack that tasks that last never leave.
+Proof: a VM that is lost while a wave empties it, and a property over pools with
+tasks that last in every rack.
 """
 
 from hypothesis import given, settings, strategies as st
 
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
+from hingepitch.jobs.fleet import FleetReply
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.rack import slots_on
+from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.spec import Step
+from hingepitch.jobs.upkeep import UpkeepDesk
 from standin.taskminion import TaskMinion
 from tests.test_dispatch import SECONDS, Rig
 from tests.test_job_plan import OTHER, make_log
@@ -165,3 +170,33 @@
         assert not session.outlook().rack_waited_ms_by_step
     finally:
         rig.close()
+
+
+class Platform:
+    """Takes no VM down and lists none."""
+
+    def upkeep(self, vm, wave, holder, fence, seconds):
+        return FleetReply.BUSY
+
+    def list_vms(self, seconds):
+        return None
+
+
+def test_a_task_whose_vm_is_lost_while_a_wave_empties_it_runs_elsewhere():
+    minions = (TaskMinion(), TaskMinion())
+    rig = Rig(*minions)
+    try:
+        rig.submit(Step(1, lasts=True))
+        assert wait_until(lambda: rig.dispatcher.session is not None, SECONDS)
+        session = rig.dispatcher.session
+        assert wait_until(lambda: session.watch.is_at_work(task()), SECONDS)
+        lost, free = sorted(minions, key=lambda one: not one.running)
+        vm = rig.log.table.minion_by_id[lost.life].vm
+        lost.faults.looks += ["dropped"] * 1000
+        lost.faults.stops += ["dropped"] * 1000
+        session.upkeep = UpkeepDesk(session, Platform(), 0.4)
+        session.spawn(session.upkeep.run)
+        rig.log.send(commands.PutWave(1, (vm,), 1, wall_ms() + 20_000))
+        assert wait_until(lambda: free.starts, 2 * SECONDS)
+    finally:
+        rig.close()
