--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -105,4 +105,4 @@
 
     def is_present(self, minion):
         """Whether a life answers a call now; False while nobody may call it."""
-        return self.session is not None and self.session.is_present(minion)
+        return self.session is not None and self.session.agents.is_present(minion)
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -8,24 +8,20 @@
 :license: BSD, see LICENSE for details.
 """
 
-from dataclasses import dataclass
-
 import gevent
 from gevent.event import Event
 
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
-from hingepitch.jobs.agent import Agent
-from hingepitch.jobs.answer import MOST_SECONDS
+from hingepitch.jobs.agentbook import AgentBook
 from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
-from hingepitch.jobs.contact import LookOrder, ReplyKind, StartOrder
+from hingepitch.jobs.contact import StartOrder
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveDesk
 from hingepitch.jobs.permission import PermissionDesk
 from hingepitch.jobs.plan import Outlook, plan_starts
-from hingepitch.jobs.pool import PoolTerms
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.service import wall_ms
@@ -35,7 +31,7 @@
 from hingepitch.log import log_event
 from hingepitch.model.command import Envelope, Role
 
-__all__ = ["DispatchTerms", "Session"]
+__all__ = ["Session"]
 
 #: How often the leader confirms itself, and how old the last confirmation
 #: may be when an order goes out, in seconds. Source: no other replica can be
@@ -53,56 +49,10 @@
 #: Time between two log lines on the load of a pool, in seconds.
 LOAD_SECONDS = 1.0
 
-#: Replies that do not come from the life that was called.
-ABSENT_KINDS = frozenset((ReplyKind.UNSURE, ReplyKind.NOT_SENT, ReplyKind.OTHER_LIFE))
-
 #: Pause between two looks that do not wait, in seconds.
 LOOK_PAUSE_SECONDS = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class DispatchTerms:
-    """What the minions' protocol allows, and what is chosen within it.
-
-    `lease_seconds`
-        Lease that each look and start gives.
-    `drift`
-        Part by which a minion's steady clock may be slower than ours.
-    `lapse_seconds`
-        How late a minion may notice that its lease is over.
-    `beat_seconds`
-        Time between two beats of a minion.
-    `look_wait_ms`
-        How long a look waits at the minion for an end.
-    `early_ms`
-        A due time may begin this much early.
-    `upkeep_seconds`
-        How long a VM is down for its upkeep.
-    `move_seconds`
-        How long a VM is away while it changes pool.
-    `far_factor`
-        How many times as long tasks take that want one rack and have not.
-    `pools`
-        When VMs change pool.
-    """
-
-    lease_seconds: float = 6.0
-    drift: float = 0.021
-    lapse_seconds: float = 0.4
-    beat_seconds: float = 1.5
-    look_wait_ms: int = 2000
-    early_ms: int = 0
-    upkeep_seconds: float = 2.0
-    move_seconds: float = 1.5
-    far_factor: float = 2.0
-    pools: PoolTerms = PoolTerms()
-
-    @property
-    def lease_until_over_seconds(self):
-        """Time on our clock until a lease given now is surely over."""
-        return self.lease_seconds * (1 + self.drift) + self.lapse_seconds
-
-
 class Session:
     """One leadership: what it may order, and what it has seen.
 
@@ -120,15 +70,12 @@
         The `Metrics` of the process.
     `has_failed`
         Whether a fault of the program ended the session.
-    `uncallable`
-        Addresses that no client could be made for, by life of a minion.
     `rack_waits`
         Since when steps wait that want one rack, as this leadership saw it.
     """
 
     def __init__(self, replica, connect, terms, name, platform, adviser, metrics):
         self.replica = replica
-        self.connect = connect
         self.terms = terms
         self.name = name
         self.gauge = DispatchGauge(metrics, self)
@@ -142,8 +89,7 @@
         self.confirmed_at = 0.0
         self.is_over = False
         self.has_failed = False
-        self.agent_by_minion = {}
-        self.uncallable = {}
+        self.agents = AgentBook(self, connect)
         self.greenlets = set()
         self.woken = Event()
         self.rack_waits = {}
@@ -338,8 +284,7 @@
         finally:
             self.is_over = True
             gevent.killall(list(self.greenlets), block=False)
-            for agent in self.agent_by_minion.values():
-                agent.client.close()
+            self.agents.close()
             self.gauge.show_nothing()
 
     def spawn(self, function, *arguments):
@@ -410,7 +355,7 @@
 
     def work_once(self):
         """Keep the agents in step, open due rounds, plan, record."""
-        self.match_agents()
+        self.agents.match()
         if not self.may_order():
             return
         self.open_due_rounds()
@@ -423,69 +368,12 @@
         self.gather_seconds = max(GATHER_SECONDS, lease_seconds() - began)
         if starts or gangs:
             self.propose(StartRuns(starts, gangs, wall_ms()))
-            self.match_agents()
-
-    def match_agents(self):
-        """Have one agent for each life of a minion, and wake those with news."""
-        table = self.table
-        for minion_id, agent in list(self.agent_by_minion.items()):
-            if minion_id not in table.minion_by_id:
-                agent.stop()
-                del self.agent_by_minion[minion_id]
-        for minion_id, minion in table.minion_by_id.items():
-            agent = self.agent_by_minion.get(minion_id) or self.meet(minion)
-            if agent is not None:
-                agent.minion = minion
-        for minion_id in table.touched_minions:
-            if minion_id in self.agent_by_minion:
-                self.agent_by_minion[minion_id].wake.set()
-        table.touched_minions.clear()
-
-    def meet(self, minion):
-        """Start the agent of a minion; return None if it cannot be called.
-
-        Its record may come from another writer. An error here would end every
-        session of every leader, and with them all dispatching.
-        """
-        if self.uncallable.get(minion.id) == minion.address:
-            return None
-        client = self.make_client(minion)
-        if client is None:
-            self.uncallable[minion.id] = minion.address
-            self.spawn(self.remove_uncallable, minion)
-            return None
-        agent = self.agent_by_minion[minion.id] = Agent(minion, client, self)
-        agent.start()
-        return agent
-
-    def make_client(self, minion):
-        """Return a client of a minion, or None if its address cannot be called."""
-        try:
-            return self.connect(minion)
-        except ValueError as error:
-            log_event("minion_uncallable", minion=minion.id, error=error)
-            return None
+            self.agents.match()
 
-    def is_present(self, minion):
-        """Whether a life that has no agent answers a call now."""
-        client = self.make_client(minion) if self.may_order() else None
-        if client is None:
-            return False
-        try:
-            look = client.look(LookOrder(self.fence, 0), MOST_SECONDS)
-        finally:
-            client.close()
-        return look.reply.kind not in ABSENT_KINDS
-
-    def remove_uncallable(self, minion):
-        """End a life that still cannot be called once its lease is surely over.
-
-        Runs that it had before would stay recorded for good otherwise.
-        """
-        gevent.sleep(self.lease_until_over_seconds)
-        recorded = self.table.minion_by_id.get(minion.id)
-        if recorded is not None and recorded.address == minion.address:
-            self.life_is_over(minion.id, "its address cannot be called")
+    @property
+    def agent_by_minion(self):
+        """The agents in service, by life of a minion."""
+        return self.agents.by_minion
 
     def outlook(self):
         """Return what the planner must know beyond the table."""
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -389,7 +389,7 @@
         "a minion that cannot be called ends the session",
         (
             (
-                "jobs/session.py",
+                "jobs/agentbook.py",
                 "except ValueError as error:",
                 "except OSError as error:",
             ),
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -15,8 +15,8 @@
 from hingepitch.jobs.dispatch import Dispatcher
 from hingepitch.jobs.record import JobStatus
 from hingepitch.jobs.roster import MinionRoster
-from hingepitch.jobs.session import DispatchTerms
 from hingepitch.jobs.spec import Step
+from hingepitch.jobs.terms import DispatchTerms
 from hingepitch.model.apply import apply
 from standin.taskminion import TaskMinion
 from tests.test_job_rules import JOB, Log, make_config, make_minion, task
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -91,9 +91,9 @@
     minion = rig.minions[0]
     good = rig.log.table.minion_by_id[minion.life]
     session = wait_for_session(rig)
-    session.uncallable["later"] = "nowhere"
+    session.agents.uncallable["later"] = "nowhere"
     record = replace(good, id="later", vm="vm-later")
-    assert session.meet(record) is not None
+    assert session.agents.meet(record) is not None
 
 
 def wait_for_session(rig):
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -56,7 +56,7 @@
         )
         self.rig.log.send(commands.RegisterMinion(record, 0))
         self.rig.replica.wake()
-        self.rig.dispatcher.session.match_agents()
+        self.rig.dispatcher.session.agents.match()
         self.rig.dispatcher.note_beat(minion.life, minion.clock_ms())
 
     def list_vms(self, seconds):
