--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -12,7 +12,7 @@
 from hingepitch.jobs.upkeep import UpkeepDesk, needed_at_once
 from standin.taskminion import TaskMinion
 from tests.test_dispatch import SECONDS, Rig
-from tests.test_job_rules import JOB, make_minion
+from tests.test_job_rules import JOB, make_minion, task
 
 UPKEEP_SECONDS = 0.4
 
@@ -109,10 +109,12 @@
     )
     away = []
     watch = rig.dispatcher.session.watch
+    tasks = [task(index=index) for index in range(4)]
+    # A task that is not at work yet may leave as the one that is away.
+    assert wait_until(lambda: all(map(watch.is_at_work, tasks)), SECONDS)
     evacuate = watch.evacuate
 
     def note(run, reason):
-        tasks = [run.task._replace(index=index) for index in range(4)]
         away.append(sum(not watch.is_at_work(one) for one in tasks))
         evacuate(run, reason)
 
