--- a/tests/test_load_backlog.py
+++ b/tests/test_load_backlog.py
@@ -1,14 +1,15 @@
 """A leader with a backlog that no pool has room for.
 
 Seen on a day made for it: a crest brought more work than its pool could do;
-then all kinds of jobs failed, and still did 15 s after a restart of all machines, though the crest was
-long over. How it came about: each planning pass looked for room on every
-minion of the pool for every step that waited, and there is a pass after each
-change: 47 ms with 999 steps and 70 minions, of which none started. So the
-leader had no time to start what other pools had room for, or to end what was
-done, and the backlog stayed. Cause: the work of a pass grew with the steps that
-cannot start. Proof: the looks for room in a pass are counted, and they do not
-grow with the backlog; and a long pass is followed by as long a pause.
+then all kinds of jobs failed, and still did 15 s after a restart of all
+machines, though the crest was long over. How it came about: each planning pass
+looked for room on every minion of the pool for every step that waited, and
+there is a pass after each change: 47 ms with 999 steps and 70 minions, of which
+none started. So the leader had no time to start what other pools had room for,
+or to end what was done, and the backlog stayed. Cause: the work of a pass grew
+with the steps that cannot start. Proof: the looks for room in a pass are
+counted, and they do not grow with the backlog; and a long pass is followed by
+as long a pause.
 """
 
 import pytest
