--- a/tests/test_load_wave.py
+++ b/tests/test_load_wave.py
@@ -131,7 +131,9 @@
 def test_a_vm_is_back_once_its_next_life_is_known(met_after, is_back):
     """A life that is known sooner may be from before, its first beat late."""
     settled_at = lease_seconds()
-    agent = SimpleNamespace(beat_at=0.0, met_at=settled_at + met_after)
+    life = SimpleNamespace(id="i-2")
+    met_at = settled_at + met_after
+    agent = SimpleNamespace(minion=life, beat_at=0.0, met_at=met_at)
     desk = make_upkeep(agent)
     desk.settled_at_by_vm["vm-1"] = settled_at
     desk.finish_if_back(SimpleNamespace(number=1), "vm-1", settled_at + met_after)
