--- a/hingepitch/jobs/renewal.py
+++ b/hingepitch/jobs/renewal.py
@@ -17,14 +17,14 @@
 class Renewal(NamedTuple):
     """A renewal that was sent; times are on `lease_seconds`.
 
-    `until_ms`
+    `lease_until_ms`
         Until when it gives the lease, on the minion's clock.
     `clock_age`
         Age in seconds of the reading of that clock that it rests on.
     """
 
     sent_at: float
-    until_ms: int
+    lease_until_ms: int
     clock_age: float
 
 
@@ -47,9 +47,9 @@
         """Note what the minion's clock showed in a message read at `now`."""
         self.clock_ms, self.clock_at = clock_ms, now
 
-    def note_sent(self, until_ms, now):
+    def note_sent(self, lease_until_ms, now):
         """Note and return a `Renewal` that goes out at `now`."""
-        self.sent = Renewal(now, until_ms, now - self.clock_at)
+        self.sent = Renewal(now, lease_until_ms, now - self.clock_at)
         return self.sent
 
     def note_answered(self, renewal):
@@ -75,4 +75,4 @@
     def given_ms(self, renewal):
         """Return how long a renewal held, by the minion's clock as known now."""
         passed_ms = (self.clock_at - renewal.sent_at) * 1000
-        return renewal.until_ms - (self.clock_ms - passed_ms)
+        return renewal.lease_until_ms - (self.clock_ms - passed_ms)
