--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -10,6 +10,7 @@
 
 import signal
 import sys
+import traceback
 
 import gevent
 from gevent.event import Event
@@ -22,6 +23,9 @@
 
 __all__ = ["Application", "run_daemon", "run_logged"]
 
+#: Folder of the product in the names of its source files.
+PACKAGE = "hingepitch/"
+
 
 class Application:
     """Base of every daemon.
@@ -71,6 +75,10 @@
         except HingepitchError as error:
             print(error, file=sys.stderr)
             self.exit_code = ExitCode.FAILED
+        except Exception as error:
+            # The traceback that follows has no time, no program and no fields.
+            log_event("program_failed", error=repr(error), at=place_of(error))
+            raise
         finally:
             self.supervisor.stop()
             self.stop()
@@ -78,6 +86,13 @@
         return self.exit_code
 
 
+def place_of(error):
+    """Return the file and line where `error` was raised in the product."""
+    frames = traceback.extract_tb(error.__traceback__)
+    own = [frame for frame in frames if PACKAGE in frame.filename] or frames
+    return f"{own[-1].filename.rpartition(PACKAGE)[2]}:{own[-1].lineno}"
+
+
 def run_daemon(application, model, settings_path, check):
     """Load the settings and run `application`; return the exit code.
 
--- a/hingepitch/control/audit.py
+++ b/hingepitch/control/audit.py
@@ -8,11 +8,11 @@
 :license: BSD, see LICENSE for details.
 """
 
-import os
 from pathlib import Path
 
 import msgspec
 
+from hingepitch.disk import Disk
 from hingepitch.log import log_event
 
 __all__ = ["AuditRecord", "AuditTrail"]
@@ -20,6 +20,10 @@
 MAX_FILE_BYTES = 16_000_000
 FILE_GLOB = "audit-*.jsonl"
 
+#: Records are written in pieces of this size, in bytes: a call of the system
+#: for each would cost the loop more than its encoding.
+BUFFER_BYTES = 8192
+
 
 class AuditRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """What one operator command did.
@@ -53,11 +57,15 @@
 
     `folder`
         The data folder.
+    `disk`
+        A `hingepitch.disk.Disk`.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, disk=None):
         self.folder = Path(folder)
+        self.disk = disk or Disk()
         self.file = None
+        self.buffer = bytearray()
         self.number = 0
         self.last_index = 0
 
@@ -81,13 +89,15 @@
         end = data.rfind(b"\n") + 1
         if end < len(data):
             log_event("torn_tail_cut", segment=path.name, at=end)
-            os.truncate(path, end)
+            file = self.disk.open(path)
+            file.truncate(end)
+            file.close()
 
     def open_file(self):
         """Open the last file, or the next one when that is full."""
         path = self.folder / f"audit-{self.number:06}.jsonl"
-        self.file = open(path, "ab")
-        if self.file.tell() > MAX_FILE_BYTES:
+        self.file = self.disk.open(path)
+        if self.file.size > MAX_FILE_BYTES:
             self.file.close()
             self.number += 1
             self.open_file()
@@ -97,13 +107,20 @@
         if record.index <= self.last_index:
             return
         self.last_index = record.index
-        self.file.write(msgspec.json.encode(record) + b"\n")
+        self.buffer += msgspec.json.encode(record) + b"\n"
+        if len(self.buffer) >= BUFFER_BYTES:
+            self.flush()
+
+    def flush(self):
+        """Write what is in the buffer, without a sync."""
+        data, self.buffer = bytes(self.buffer), bytearray()
+        self.file.write_all(data)
 
     def sync(self):
         """Make the records durable; start a new file when this one is full."""
-        self.file.flush()
-        os.fdatasync(self.file.fileno())
-        if self.file.tell() > MAX_FILE_BYTES:
+        self.flush()
+        self.file.sync()
+        if self.file.size > MAX_FILE_BYTES:
             self.file.close()
             self.number += 1
             self.open_file()
@@ -114,7 +131,7 @@
         An empty value matches every record.
         """
         if self.file is not None:
-            self.file.flush()
+            self.flush()
         for path in self.paths():
             for line in path.read_bytes().splitlines():
                 record = DECODER.decode(line)
@@ -128,6 +145,14 @@
 
     def close(self):
         """Close the file."""
-        file, self.file = self.file, None
-        if file is not None:
+        if self.file is None:
+            return
+        try:
+            self.flush()
+        finally:
+            file, self.file = self.file, None
             file.close()
+
+    def anew(self):
+        """Return a trail of the same folder that is not open yet."""
+        return AuditTrail(self.folder, self.disk)
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -24,6 +24,7 @@
 from hingepitch.control.roster import Roster
 from hingepitch.control.settings import ControlSettings
 from hingepitch.control.storage import Storage, found_folder
+from hingepitch.disk import Disk
 from hingepitch.error import ExitCode, HingepitchError
 from hingepitch.group import GroupClient
 from hingepitch.httpd import HttpServer, StatusResources, wait_until
@@ -46,15 +47,17 @@
     """One replica of the control group, with all its parts."""
 
     program = "control"
+    disk_class = Disk
 
     def setup(self):
         """Wire the parts and recover the state."""
         settings = self.settings
+        self.disk = self.disk_class()
         self.metrics = Metrics(self.program)
         self.roster = Roster(settings.lease_seconds)
         self.replica = Replica(
-            Storage(settings.data_folder, settings.name),
-            AuditTrail(settings.data_folder),
+            Storage(settings.data_folder, settings.name, self.disk),
+            AuditTrail(settings.data_folder, self.disk),
             PeerLinks(settings.name, settings.shared_key),
             self.roster,
             self.address_of,
@@ -63,6 +66,7 @@
         self.book = PeerBook(
             [settings.rpc_address, *(peer.address for peer in settings.peers)],
             settings.data_folder,
+            self.disk,
         )
         self.book.load()
         self.replica.open()
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -200,8 +200,8 @@
         self.inbox.clear()
         with self.writer.lock:
             self.close()
-            self.storage = type(self.storage)(self.storage.folder, self.storage.name)
-            self.audit = type(self.audit)(self.storage.folder)
+            self.storage = self.storage.anew()
+            self.audit = self.audit.anew()
             self.open()
             self.storage.write(self.storage.vote, [])
             self.writer.reset(self.storage)
--- a/hingepitch/control/storage.py
+++ b/hingepitch/control/storage.py
@@ -19,7 +19,8 @@
 import msgspec
 
 from hingepitch.control.message import Entry, EntryKind, Member, Recovered
-from hingepitch.durable import run_off_loop, sync_folder, write_whole
+from hingepitch.disk import Disk
+from hingepitch.durable import run_off_loop, write_whole
 from hingepitch.error import HingepitchError
 from hingepitch.log import log_event
 
@@ -93,18 +94,19 @@
     return False
 
 
-def found_folder(folder, identity, members):
+def found_folder(folder, identity, members, disk=None):
     """Make the data folder of a founding member, once and never again.
 
     Raises `HingepitchError` (`storage_failed`) if the folder is in use.
     """
+    disk = disk or Disk()
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
     if (folder / "identity").exists():
         raise HingepitchError("storage_failed", f"{folder} has an identity already")
     first = Snapshot(0, 0, members, b"")
-    write_whole(folder / f"snapshot-{0:020}", msgspec.msgpack.encode(first))
-    write_whole(folder / "identity", identity.encode())
+    write_whole(disk, folder / f"snapshot-{0:020}", msgspec.msgpack.encode(first))
+    write_whole(disk, folder / "identity", identity.encode())
 
 
 class Storage:
@@ -115,11 +117,14 @@
     `name`
         Name of the replica; an empty folder gets the new identity
         `name~random`, which no group knows yet.
+    `disk`
+        A `hingepitch.disk.Disk`.
     """
 
-    def __init__(self, folder, name):
+    def __init__(self, folder, name, disk=None):
         self.folder = Path(folder)
         self.name = name
+        self.disk = disk or Disk()
         self.lock_file = None
         self.segment = None
         self.segment_number = 0
@@ -178,7 +183,7 @@
         if any(SEGMENT_NAME.match(name) for name in leftovers):
             raise HingepitchError("storage_damaged", "a log without an identity")
         identity = f"{self.name}~{uuid.uuid4().hex[:8]}"
-        write_whole(path, identity.encode())
+        write_whole(self.disk, path, identity.encode())
         return identity
 
     def numbers(self, pattern):
@@ -231,11 +236,17 @@
                     detail = f"{path.name} at byte {offset}"
                     raise HingepitchError("storage_damaged", detail)
                 log_event("torn_tail_cut", segment=path.name, at=offset)
-                os.truncate(path, offset)
+                self.cut(path, offset)
                 return
             record_type, body, offset = record
             yield record_type, body
 
+    def cut(self, path, size):
+        """Cut a file to `size` bytes."""
+        file = self.disk.open(path)
+        file.truncate(size)
+        file.close()
+
     def take_record(self, record_type, body, entries, number):
         """Add one record to what is recovered."""
         if record_type == VOTE_RECORD:
@@ -261,9 +272,9 @@
         if self.segment is not None:
             self.segment.close()
         path = self.segment_path(self.segment_number)
-        self.segment = open(path, "ab", buffering=0)
-        self.segment_size = path.stat().st_size
-        sync_folder(self.folder)
+        self.segment = self.disk.open(path)
+        self.segment_size = self.segment.size
+        self.disk.sync_folder(self.folder)
 
     # Writing.
 
@@ -294,14 +305,12 @@
 
     def write_synced(self, data):
         """Append `data` to the segment and sync it; runs in a thread."""
-        view = memoryview(data)
-        while view:
-            view = view[self.segment.write(view) :]
-        os.fdatasync(self.segment.fileno())
+        self.segment.write_all(data)
+        self.segment.sync()
 
     def undo_write(self):
         """Cut a write that failed half-way."""
-        os.truncate(self.segment_path(self.segment_number), self.segment_size)
+        self.segment.truncate(self.segment_size)
 
     # Snapshots.
 
@@ -318,7 +327,7 @@
             snapshot.first_segment = self.segment_number + 1
         data = msgspec.msgpack.encode(snapshot)
         try:
-            run_off_loop(write_whole, path, data)
+            run_off_loop(write_whole, self.disk, path, data)
         except OSError as error:
             raise HingepitchError("storage_failed", str(error)) from None
         self.snapshot = snapshot
@@ -332,15 +341,19 @@
         self.write(self.vote, [])
         for number in self.numbers(SNAPSHOT_NAME):
             if number < self.snapshot.index:
-                os.unlink(self.folder / f"snapshot-{number:020}")
+                self.disk.remove(self.folder / f"snapshot-{number:020}")
         for number in self.numbers(SEGMENT_NAME):
             last = self.last_index_by_segment.get(number, 0)
             is_void = number < self.snapshot.first_segment
             is_covered = number < self.segment_number and last <= self.snapshot.index
             if is_void or is_covered:
-                os.unlink(self.segment_path(number))
+                self.disk.remove(self.segment_path(number))
                 self.last_index_by_segment.pop(number, None)
 
+    def anew(self):
+        """Return a store of the same folder that is not open yet."""
+        return Storage(self.folder, self.name, self.disk)
+
     def close(self):
         """Close the files and give the lock back."""
         segment, self.segment = self.segment, None
--- a/hingepitch/durable.py
+++ b/hingepitch/durable.py
@@ -8,31 +8,23 @@
 :license: BSD, see LICENSE for details.
 """
 
-import os
-
 import gevent
 
-__all__ = ["run_off_loop", "sync_folder", "write_whole"]
-
+__all__ = ["run_off_loop", "write_whole"]
 
-def sync_folder(path):
-    """Make the names in the folder `path` durable."""
-    descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
 
-
-def write_whole(path, data):
+def write_whole(disk, path, data):
     """Write `data` to `path` so that it is there whole or not at all."""
     temporary = path.with_name("." + path.name)
-    with open(temporary, "wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    os.rename(temporary, path)
-    sync_folder(path.parent)
+    file = disk.open(temporary)
+    try:
+        file.truncate(0)
+        file.write_all(data)
+        file.sync()
+    finally:
+        file.close()
+    disk.rename(temporary, path)
+    disk.sync_folder(path.parent)
 
 
 def run_off_loop(function, *arguments):
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -23,6 +23,7 @@
     "started": "INFO",
     "stopped": "INFO",
     "draining": "INFO",
+    "program_failed": "CRITICAL",
     "child_failed": "ERROR",
     "child_gave_up": "CRITICAL",
     "broken_invariant": "CRITICAL",
--- a/hingepitch/peerbook.py
+++ b/hingepitch/peerbook.py
@@ -13,6 +13,7 @@
 import gevent
 import msgspec
 
+from hingepitch.disk import Disk
 from hingepitch.durable import run_off_loop, write_whole
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.question import AskMembers, MemberRow, encode
@@ -42,9 +43,12 @@
         Addresses from the settings; they may be stale.
     `folder`
         Data folder in which the book is remembered, or None.
+    `disk`
+        A `hingepitch.disk.Disk`.
     """
 
-    def __init__(self, seeds, folder=None):
+    def __init__(self, seeds, folder=None, disk=None):
+        self.disk = disk or Disk()
         self.seeds = list(seeds)
         self.path = Path(folder) / FILE_NAME if folder else None
         self.rows = []
@@ -84,7 +88,7 @@
         sync waits in a thread, so that a slow disk holds nobody else up.
         """
         try:
-            run_off_loop(write_whole, self.path, encode(self.rows))
+            run_off_loop(write_whole, self.disk, self.path, encode(self.rows))
         except OSError as error:
             log_event("storage_failed", file=FILE_NAME, error=error)
 
--- /dev/null
+++ b/standin/powerdisk.py
@@ -0,0 +1,363 @@
+"""
+standin.powerdisk
+~~~~~~~~~~~~~~~~~
+
+A disk that loses power: it keeps what a sync covered, and of the rest what
+chance leaves.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import errno
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from hingepitch.disk import Disk, DiskFile
+
+__all__ = ["JournalDisk", "NotingDisk", "PowerDisk", "PowerModel", "lose_power"]
+
+#: Unit in which a torn write comes apart, in bytes. Source: the page of the
+#: system's file cache.
+BLOCK_BYTES = 4096
+
+
+class Call(msgspec.Struct, array_like=True):
+    """One call that changes the disk.
+
+    `name`
+        create, write, truncate, sync, rename, remove or sync_folder.
+    `path`
+        Path of the file or folder.
+    `offset`
+        Of a write: where it begins; of a truncation: the new size.
+    `data`
+        Of a write.
+    `other`
+        Of a rename: the new path.
+    """
+
+    name: str
+    path: str
+    offset: int = 0
+    data: bytes = b""
+    other: str = ""
+
+
+@dataclass(eq=False, slots=True)
+class Content:
+    """What a file holds, whatever its name.
+
+    `durable`
+        What the last sync covered.
+    `pending`
+        The writes and truncations since.
+    """
+
+    durable: bytes = b""
+    pending: list[Call] = field(default_factory=list)
+
+    def now(self):
+        """Return what the running system reads."""
+        return change(self.durable, self.pending)
+
+
+def change(data, calls):
+    """Return `data` after writes and truncations."""
+    data = bytearray(data)
+    for call in calls:
+        if call.name == "truncate":
+            data = data[: call.offset] + bytes(max(0, call.offset - len(data)))
+            continue
+        end = call.offset + len(call.data)
+        data += bytes(max(0, end - len(data)))
+        data[call.offset : end] = call.data
+    return bytes(data)
+
+
+class PowerModel:
+    """What one data folder holds, now and after a loss of power.
+
+    `content_by_path`
+        The files as the running system sees them.
+    `durable_by_path`
+        The files by the names that would surely be there.
+    `pending_names`
+        New names, renames and removals that no sync covers, in their order:
+        `(call, content)`.
+    """
+
+    def __init__(self, data_by_path=None):
+        self.content_by_path = {
+            path: Content(data) for path, data in (data_by_path or {}).items()
+        }
+        self.durable_by_path = dict(self.content_by_path)
+        self.pending_names = []
+
+    def take(self, call):
+        """Take note of a call."""
+        getattr(self, f"take_{call.name}")(call)
+
+    def take_create(self, call):
+        """A file was made, unless it was there."""
+        if call.path in self.content_by_path:
+            return
+        content = self.content_by_path[call.path] = Content()
+        self.pending_names.append((call, content))
+
+    def take_write(self, call):
+        """Data was written that no sync covers yet."""
+        self.content_by_path[call.path].pending.append(call)
+
+    take_truncate = take_write
+
+    def take_sync(self, call):
+        """A file is durable, and its name, if it is new."""
+        content = self.content_by_path[call.path]
+        content.durable = content.now()
+        content.pending.clear()
+        for one in list(self.pending_names):
+            if one[0].name == "create" and one[1] is content:
+                self.pending_names.remove(one)
+                self.durable_by_path[one[0].path] = content
+
+    def take_rename(self, call):
+        """A file has another name until a loss of power, and perhaps after."""
+        content = self.content_by_path.pop(call.path, None)
+        if content is None:
+            return
+        self.content_by_path[call.other] = content
+        self.pending_names.append((call, content))
+
+    def take_remove(self, call):
+        """A file is gone until a loss of power, and perhaps after."""
+        content = self.content_by_path.pop(call.path, None)
+        if content is not None:
+            self.pending_names.append((call, content))
+
+    def take_sync_folder(self, call):
+        """The names in a folder are durable."""
+        folder = call.path
+        for one in list(self.pending_names):
+            if os.path.dirname(one[0].path) == folder:
+                self.pending_names.remove(one)
+                self.keep_name(self.durable_by_path, *one)
+
+    def keep_name(self, names, call, content):
+        """Carry a change of a name out on `names`."""
+        if call.name == "create":
+            names[call.path] = content
+            return
+        if names.get(call.path) is content:
+            del names[call.path]
+        if call.name == "rename":
+            names[call.other] = content
+
+    def lose(self, rng):
+        """Return the files after a loss of power: data by path.
+
+        One loss in four takes all that no sync covers; otherwise each change
+        of a name and each write is kept, taken or torn on its own.
+        """
+        names = dict(self.durable_by_path)
+        takes_all = rng.random() < 0.25
+        for call, content in self.pending_names:
+            if not takes_all and rng.random() < 0.5:
+                self.keep_name(names, call, content)
+        return {
+            path: content.durable
+            if takes_all
+            else change(content.durable, left_of(content.pending, rng))
+            for path, content in names.items()
+        }
+
+
+def left_of(calls, rng):
+    """Yield what a loss of power leaves of writes that no sync covers."""
+    for call in calls:
+        fate = rng.choice(("present", "absent", "cut", "blocks"))
+        if fate == "absent":
+            continue
+        if call.name == "truncate" or fate == "present":
+            yield call
+        elif fate == "cut":
+            size = rng.randrange(len(call.data) + 1)
+            yield Call("write", call.path, call.offset, call.data[:size])
+        else:
+            yield from blocks_of(call, rng)
+
+
+def blocks_of(call, rng):
+    """Yield some of the blocks of a write, as writes of their own."""
+    at = call.offset
+    end = call.offset + len(call.data)
+    while at < end:
+        after = min(end, (at // BLOCK_BYTES + 1) * BLOCK_BYTES)
+        if rng.random() < 0.5:
+            data = call.data[at - call.offset : after - call.offset]
+            yield Call("write", call.path, at, data)
+        at = after
+
+
+class NotingFile(DiskFile):
+    """A file whose calls are noted."""
+
+    def __init__(self, path, note):
+        self.note = note
+        note(Call("create", str(path)))
+        super().__init__(path)
+
+    def write(self, data):
+        """Append `data`; what is noted but not done would come again."""
+        self.note(Call("write", str(self.path), self.size, bytes(data)))
+        return super().write(data)
+
+    def truncate(self, size):
+        """Cut the file."""
+        self.note(Call("truncate", str(self.path), size))
+        super().truncate(size)
+
+    def sync(self):
+        """Sync the file; noted only once it has returned."""
+        super().sync()
+        self.note(Call("sync", str(self.path)))
+
+
+class NotingDisk(Disk):
+    """The file system, with each call that changes it passed to `note`."""
+
+    def __init__(self, note):
+        self.note = note
+
+    def open(self, path):
+        """Return the file at `path`."""
+        return NotingFile(path, self.note)
+
+    def rename(self, old, new):
+        """Rename a file."""
+        self.note(Call("rename", str(old), other=str(new)))
+        super().rename(old, new)
+
+    def remove(self, path):
+        """Remove a file."""
+        self.note(Call("remove", str(path)))
+        super().remove(path)
+
+    def sync_folder(self, path):
+        """Sync a folder; noted only once it has returned."""
+        super().sync_folder(path)
+        self.note(Call("sync_folder", str(path)))
+
+
+class PowerDisk(NotingDisk):
+    """A disk within one process that can lose power.
+
+    `folder`
+        The data folder; what is in it now counts as synced.
+    """
+
+    def __init__(self, folder):
+        self.folder = Path(folder)
+        self.restore(read_folder(self.folder))
+        super().__init__(self.take)
+
+    def restore(self, data_by_path):
+        """Begin anew with these files, all synced, and with power."""
+        self.model = PowerModel(data_by_path)
+        self.calls = 0
+        self.calls_left = None
+
+    def take(self, call):
+        """Take note of a call; raise `OSError` once the power is lost.
+
+        The last call before that is under way: nobody hears how it went.
+        """
+        self.calls += 1
+        if self.calls_left is None:
+            self.model.take(call)
+            return
+        self.calls_left -= 1
+        is_sync = call.name in ("sync", "sync_folder")
+        if self.calls_left > 0 or (self.calls_left == 0 and not is_sync):
+            self.model.take(call)
+        if self.calls_left <= 0:
+            raise OSError(errno.EIO, "the power is lost")
+
+    def lose_power_after(self, calls):
+        """Have the power lost in the call after so many more."""
+        self.calls_left = calls + 1
+
+    def lose_power(self, rng):
+        """Leave in the folder what a loss of power leaves."""
+        left = self.model.lose(rng)
+        write_folder(self.folder, left)
+        self.restore(left)
+
+
+class JournalDisk(NotingDisk):
+    """The disk of a process of its own: its calls are written to a journal.
+
+    `journal`
+        Path of the journal, outside the data folder; it survives a kill.
+    """
+
+    def __init__(self, journal):
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
+        self.descriptor = os.open(journal, flags, 0o644)
+        super().__init__(self.write_down)
+
+    def write_down(self, call):
+        """Append a call to the journal."""
+        body = msgspec.msgpack.encode(call)
+        os.write(self.descriptor, len(body).to_bytes(4, "big") + body)
+
+
+def read_journal(journal):
+    """Yield the calls of a journal."""
+    data = Path(journal).read_bytes() if Path(journal).exists() else b""
+    at = 0
+    while at + 4 <= len(data):
+        end = at + 4 + int.from_bytes(data[at : at + 4], "big")
+        yield msgspec.msgpack.decode(data[at + 4 : end], type=Call)
+        at = end
+
+
+def read_folder(folder):
+    """Return the files of a folder: data by path."""
+    if not Path(folder).exists():
+        return {}
+    files = (path for path in Path(folder).iterdir() if path.is_file())
+    return {str(path): path.read_bytes() for path in files}
+
+
+def write_folder(folder, data_by_path):
+    """Make a folder hold just these files."""
+    for path in Path(folder).iterdir():
+        if path.is_file():
+            path.unlink()
+    for path, data in data_by_path.items():
+        Path(path).write_bytes(data)
+
+
+def lose_power(folder, journal, base, rng):
+    """Leave in `folder` what a loss of power leaves; its process must be dead.
+
+    `journal`
+        The calls since the last loss of power, or since the first start.
+    `base`
+        Folder that keeps the files as that loss left them.
+    """
+    folder, base = Path(folder), Path(base)
+    kept = read_folder(base)
+    start = {str(folder / Path(path).name): data for path, data in kept.items()}
+    model = PowerModel(start)
+    for call in read_journal(journal):
+        model.take(call)
+    left = model.lose(rng)
+    write_folder(folder, left)
+    base.mkdir(exist_ok=True)
+    write_folder(base, {str(base / Path(path).name): left[path] for path in left})
+    Path(journal).unlink(missing_ok=True)
--- a/tests/test_peerbook.py
+++ b/tests/test_peerbook.py
@@ -4,31 +4,18 @@
 not read its book, so it knew only the addresses of its settings.
 """
 
-import os
-
 from hingepitch.jobs.question import MemberRow
 from hingepitch.peerbook import PeerBook
+from standin.powerdisk import NotingDisk
 
 ROWS = [MemberRow("n9", "10.0.0.9:7060", True)]
 
 
-def test_the_book_is_synced_before_it_takes_the_place_of_the_last(
-    tmp_path, monkeypatch
-):
+def test_the_book_is_synced_before_it_takes_the_place_of_the_last(tmp_path):
     calls = []
-    for name in ("fsync", "rename"):
-        real = getattr(os, name)
-        monkeypatch.setattr(os, name, noted(calls, name, real))
-    PeerBook([], tmp_path).learn(ROWS)
-    assert calls == ["fsync", "rename", "fsync"]
-
-
-def noted(calls, name, real):
-    def call(*arguments):
-        calls.append(name)
-        return real(*arguments)
-
-    return call
+    disk = NotingDisk(lambda call: calls.append(call.name))
+    PeerBook([], tmp_path, disk).learn(ROWS)
+    assert calls[-3:] == ["sync", "rename", "sync_folder"]
 
 
 def test_a_book_that_was_kept_is_known_at_the_next_start(tmp_path):
