--- a/standin/faults.py
+++ b/standin/faults.py
@@ -230,8 +230,8 @@
         "nothing reaches the disk",
         (
             (
-                "control/storage.py",
-                "view = view[self.segment.write(view) :]",
+                "disk.py",
+                "view = view[self.write(view) :]",
                 "view = b''",
             ),
         ),
