What no sync covered never ends a control program; a log that cannot be read is set aside

After a loss of power each piece is there, torn or gone on its own. The start cut behind the last line end and decoded the rest, holes included; the error was caught nowhere, so the program ended at each start, for good. Three of five such programs are no quorum.

The class: recovery that takes unsynced writes for a prefix of what was written, in a file of any kind, by code that ends the program where they do not decode. Found in the same way by reading, mended here with the trail: - one write of several records: a hole in it with a whole record behind it was taken for damage of synced data (storage_damaged, at each start).

Missing records are shown as missing, by index. Forms on disk of earlier versions are read.

--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -69,7 +69,7 @@
             self.disk,
         )
         self.book.load()
-        self.replica.open()
+        self.replica.open_when_possible(self.stopping)
         self.group = GroupClient(
             self.book.addresses(), settings.name, settings.shared_key
         )
@@ -177,6 +177,7 @@
             "snapshot_index": replica.storage.snapshot.index,
             "commands_applied": replica.commands_applied,
             "storage_fault": replica.storage_fault,
+            "set_aside": replica.storage.set_aside_reason,
             "entries": entries,
         }
 
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -135,10 +135,37 @@
     def open(self):
         """Recover from the data folder."""
         recovered = self.storage.open()
-        self.audit.open()
+        snapshot = self.storage.snapshot
+        self.audit.open(snapshot.trail, snapshot.index)
         self.core = Consensus(recovered, f"{self.seed}/{recovered.identity}")
         self.load_snapshot(self.storage.snapshot)
 
+    def open_when_possible(self, stopping):
+        """Open the data folder as soon as it can be written.
+
+        A disk that refuses for a while is no reason to end the program.
+
+        `stopping`
+            Event after which nobody waits; then `storage_failed` is raised.
+        """
+        while True:
+            try:
+                self.open()
+                self.storage_fault = ""
+                return
+            except OSError as error:
+                self.note_storage_fault(error)
+            self.close()
+            if stopping.wait(PAUSE_AFTER_FAULT_SECONDS):
+                raise HingepitchError("storage_failed", self.storage_fault)
+            self.renew_files()
+            self.writer.reset(self.storage)
+
+    def renew_files(self):
+        """Take the data folder as if it had never been opened."""
+        self.storage = self.storage.anew()
+        self.audit = self.audit.anew()
+
     def load_snapshot(self, snapshot):
         """Take the state of `snapshot`."""
         self.state = State.from_snapshot(snapshot.state) if snapshot.state else State()
@@ -200,8 +227,7 @@
         self.inbox.clear()
         with self.writer.lock:
             self.close()
-            self.storage = self.storage.anew()
-            self.audit = self.audit.anew()
+            self.renew_files()
             self.open()
             self.storage.write(self.storage.vote, [])
             self.writer.reset(self.storage)
@@ -494,9 +520,11 @@
             return
         self.log_bytes = 0
         self.writer.write()
-        self.audit.sync()
-        self.storage.save_snapshot(self.make_snapshot())
-        self.storage.rotate()
+        snapshot = self.make_snapshot()
+        snapshot.trail = self.audit.sync()
+        later = self.core.log.last_index - self.applied_index
+        entries = self.core.log.after(self.applied_index, later)
+        self.storage.save_snapshot(snapshot, entries)
         self.core.compact(self.applied_index - KEEP_BEHIND_SNAPSHOT)
         log_event("snapshot_written", index=self.applied_index)
 
@@ -536,8 +564,9 @@
         snapshot = Snapshot(
             action.index, action.term, self.core.members, action.snapshot
         )
-        self.storage.save_snapshot(snapshot, void_log=True)
-        self.storage.rotate()
+        self.audit.skip_to(action.index)
+        snapshot.trail = self.audit.sync()
+        self.storage.save_snapshot(snapshot)
         self.load_snapshot(snapshot)
         log_event("snapshot_installed", index=action.index)
 
--- a/hingepitch/control/storage.py
+++ b/hingepitch/control/storage.py
@@ -2,7 +2,7 @@
 hingepitch.control.storage
 ~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-The data folder: identity, checksummed log segments, snapshots.
+The data folder of a replica: identity, log segments, snapshots.
 
 :copyright: Copyright 2026 by the hingepitch maintainers.
 :license: BSD, see LICENSE for details.
@@ -11,44 +11,67 @@
 import fcntl
 import os
 import re
-import struct
 import uuid
-import zlib
 from pathlib import Path
 
 import msgspec
 
-from hingepitch.control.message import Entry, EntryKind, Member, Recovered
+from hingepitch.control.batch import (
+    SNAPSHOT_RECORD,
+    Batch,
+    encode_batch,
+    frame,
+    read_batches,
+    read_frame,
+)
+from hingepitch.control.message import Member, Recovered
 from hingepitch.disk import Disk
 from hingepitch.durable import run_off_loop, write_whole
 from hingepitch.error import HingepitchError
 from hingepitch.log import log_event
 
-__all__ = ["Snapshot", "Storage", "found_folder"]
-
-#: Before each record: magic, length of the body, checksum, type.
-HEADER = struct.Struct("<IIIB")
-MAGIC = 0x48504C31
-MAX_RECORD_BYTES = 64_000_000
-
-ENTRY_RECORD = 1
-VOTE_RECORD = 2
+__all__ = ["Snapshot", "Storage", "TrailMark", "found_folder"]
 
 SEGMENT_NAME = re.compile(r"segment-(\d{12})\Z")
 SNAPSHOT_NAME = re.compile(r"snapshot-(\d{20})\Z")
 
-ENTRY_DECODER = msgspec.msgpack.Decoder(tuple[int, int, int, bytes])
-VOTE_DECODER = msgspec.msgpack.Decoder(tuple[int, str])
+LOCK_NAME = "lock"
+IDENTITY_NAME = "identity"
+
+#: Begins the names of a log that could not be read, kept for the operator.
+ASIDE_PREFIX = "set-aside-"
+
+#: Begin the names of whole files that are being written.
+LEFTOVER_PREFIXES = (".identity", ".snapshot-")
+
+#: Files that stay when a log is set aside: they say nothing of the group's past.
+STAYING_NAMES = (LOCK_NAME, "peers")
+
+
+class TrailMark(msgspec.Struct, frozen=True):
+    """How far the audit trail was synced when a snapshot was written.
+
+    `number`, `size`
+        Of its last file, and how many bytes of that.
+    `index`
+        Place in the log of its last record.
+    """
+
+    number: int
+    size: int
+    index: int
 
 
 class Snapshot(msgspec.Struct):
     """The state after the entry `index`, with the members at that point.
 
     `first_segment`
-        Segments below this number are void: they may hold entries that the
-        group never committed.
+        Segments below this number are void: what they hold is in the snapshot,
+        or was never committed.
     `vote`
         Term and vote when the snapshot was written.
+    `trail`
+        How far the audit trail goes; None from earlier versions.
     """
 
     index: int
@@ -57,61 +80,58 @@
     state: bytes
     first_segment: int = 0
     vote: tuple[int, str] = (0, "")
+    trail: TrailMark | None = None
 
 
 SNAPSHOT_DECODER = msgspec.msgpack.Decoder(Snapshot)
 
 
-def frame(record_type, body):
-    """Return the bytes of a record."""
-    checksum = zlib.crc32(body, record_type)
-    return HEADER.pack(MAGIC, len(body), checksum, record_type) + body
-
+def encode_snapshot(snapshot):
+    """Return the bytes of a snapshot."""
+    return frame(SNAPSHOT_RECORD, msgspec.msgpack.encode(snapshot))
 
-def read_record(data, offset):
-    """Return `(type, body, end)` of the record at `offset`, or None."""
-    if offset + HEADER.size > len(data):
-        return None
-    magic, length, checksum, record_type = HEADER.unpack_from(data, offset)
-    start = offset + HEADER.size
-    end = start + length
-    if magic != MAGIC or length > MAX_RECORD_BYTES or end > len(data):
-        return None
-    body = data[start:end]
-    if zlib.crc32(body, record_type) != checksum:
-        return None
-    return record_type, body, end
 
+def decode_snapshot(data):
+    """Return the `Snapshot` of `data`.
 
-def has_record_after(data, offset):
-    """Whether a whole record stands anywhere after `offset`."""
-    magic = struct.pack("<I", MAGIC)
-    position = data.find(magic, offset + 1)
-    while position >= 0:
-        if read_record(data, position) is not None:
-            return True
-        position = data.find(magic, position + 1)
-    return False
+    Earlier versions wrote it without a checksum. Raises `storage_damaged`, or
+    `storage_unknown` where the checksum holds: another version wrote it.
+    """
+    record = read_frame(data)
+    is_whole = record is not None and record[0] == SNAPSHOT_RECORD
+    try:
+        return SNAPSHOT_DECODER.decode(record[1] if is_whole else data)
+    except msgspec.MsgspecError as error:
+        code = "storage_unknown" if is_whole else "storage_damaged"
+        raise HingepitchError(code, f"not a snapshot: {error}") from None
 
 
 def found_folder(folder, identity, members, disk=None):
     """Make the data folder of a founding member, once and never again.
 
-    Raises `HingepitchError` (`storage_failed`) if the folder is in use.
+    Raises `HingepitchError` (`storage_failed`) if the folder is in use, or if
+    a log was set aside in it: a group is not founded twice.
     """
     disk = disk or Disk()
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    if (folder / "identity").exists():
-        raise HingepitchError("storage_failed", f"{folder} has an identity already")
+    for name in os.listdir(folder):
+        if name == IDENTITY_NAME or name.startswith(ASIDE_PREFIX):
+            raise HingepitchError("storage_failed", f"{folder} has an identity already")
     first = Snapshot(0, 0, members, b"")
-    write_whole(disk, folder / f"snapshot-{0:020}", msgspec.msgpack.encode(first))
-    write_whole(disk, folder / "identity", identity.encode())
+    write_whole(disk, folder / f"snapshot-{0:020}", encode_snapshot(first))
+    write_whole(disk, folder / IDENTITY_NAME, identity.encode())
 
 
 class Storage:
     """One data folder, used by one process at a time.
 
+    A loss of power keeps what a sync covered; of what was written since, each
+    write and each change of a name may be there, torn or gone, whatever became
+    of those before. So a write is one batch under one checksum and begins when
+    the one before is synced, a snapshot names the first segment that it needs,
+    and nothing that was read is believed before it is synced again.
+
     `folder`
         Path of the folder; made if it does not exist.
     `name`
@@ -119,6 +139,8 @@
         `name~random`, which no group knows yet.
     `disk`
         A `hingepitch.disk.Disk`.
+    `set_aside_reason`
+        Why the log was set aside at this opening; empty if it was not.
     """
 
     def __init__(self, folder, name, disk=None):
@@ -127,60 +149,89 @@
         self.disk = disk or Disk()
         self.lock_file = None
         self.segment = None
+        self.bytes_written = 0
+        self.set_aside_reason = ""
+        self.forget()
+
+    def forget(self):
+        """Know nothing of what the folder holds."""
         self.segment_number = 0
         self.segment_size = 0
-        self.last_index_by_segment = {}
+        self.sequence = 0
         self.vote = (0, "")
         self.snapshot = Snapshot(0, 0, (), b"")
         self.snapshot_bytes = 0
-        self.bytes_written = 0
 
     # Opening.
 
     def open(self):
         """Lock the folder and return what it holds as `Recovered`.
 
-        Raises `HingepitchError`: `folder_locked`, `storage_damaged`.
+        A log that cannot be read is set aside: the replica comes back as one
+        that has lost its disk, under a new identity, and is taken in again. It
+        never votes with a past that it cannot read.
+
+        Raises `HingepitchError` (`folder_locked`, `storage_unknown`) or `OSError`.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
         self.take_lock()
-        identity = self.read_identity()
-        self.read_snapshot()
-        entries = self.read_segments()
-        self.open_segment()
+        self.remove_leftovers()
+        try:
+            recovered = self.recover()
+        except HingepitchError as error:
+            if error.code != "storage_damaged":
+                raise
+            self.set_aside(error.detail)
+            self.forget()
+            recovered = self.recover()
         log_event(
             "log_recovered",
-            identity=identity,
-            snapshot_index=self.snapshot.index,
-            entries=len(entries),
-        )
-        return Recovered(
-            identity=identity,
-            term=self.vote[0],
-            voted_for=self.vote[1],
+            identity=recovered.identity,
             snapshot_index=self.snapshot.index,
-            snapshot_term=self.snapshot.term,
-            members=self.snapshot.members,
-            entries=entries,
+            entries=len(recovered.entries),
         )
+        return recovered
 
     def take_lock(self):
         """Lock the folder against a second process."""
         if self.lock_file is not None:
             return
-        self.lock_file = open(self.folder / "lock", "wb")
+        self.lock_file = open(self.folder / LOCK_NAME, "wb")
         try:
             fcntl.flock(self.lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             raise HingepitchError("folder_locked", str(self.folder)) from None
 
+    def remove_leftovers(self):
+        """Remove what a write of a whole file left when it was cut short."""
+        for name in os.listdir(self.folder):
+            if name.startswith(LEFTOVER_PREFIXES):
+                self.disk.remove(self.folder / name)
+
+    def recover(self):
+        """Read the folder; raise `storage_damaged`."""
+        identity = self.read_identity()
+        self.read_snapshot()
+        entries = self.read_segments()
+        self.open_segment()
+        # What was read may lie in the cache of a killed process' system only.
+        run_off_loop(self.segment.sync)
+        return Recovered(
+            identity=identity,
+            term=self.vote[0],
+            voted_for=self.vote[1],
+            snapshot_index=self.snapshot.index,
+            snapshot_term=self.snapshot.term,
+            members=self.snapshot.members,
+            entries=entries,
+        )
+
     def read_identity(self):
         """Return the identity of the folder; an empty folder gets a new one."""
-        path = self.folder / "identity"
+        path = self.folder / IDENTITY_NAME
         if path.exists():
-            return path.read_text()
-        leftovers = [name for name in os.listdir(self.folder) if name != "lock"]
-        if any(SEGMENT_NAME.match(name) for name in leftovers):
+            return decode_identity(path.read_bytes())
+        if self.numbers(SEGMENT_NAME):
             raise HingepitchError("storage_damaged", "a log without an identity")
         identity = f"{self.name}~{uuid.uuid4().hex[:8]}"
         write_whole(self.disk, path, identity.encode())
@@ -196,12 +247,8 @@
         numbers = self.numbers(SNAPSHOT_NAME)
         if not numbers:
             return
-        path = self.folder / f"snapshot-{numbers[-1]:020}"
-        data = path.read_bytes()
-        try:
-            self.snapshot = SNAPSHOT_DECODER.decode(data)
-        except msgspec.MsgspecError as error:
-            raise HingepitchError("storage_damaged", f"{path.name}: {error}") from None
+        data = self.snapshot_path(numbers[-1]).read_bytes()
+        self.snapshot = decode_snapshot(data)
         self.snapshot_bytes = len(data)
         self.vote = self.snapshot.vote
         self.segment_number = self.snapshot.first_segment
@@ -212,94 +259,121 @@
         first = self.snapshot.first_segment
         numbers = [at for at in self.numbers(SEGMENT_NAME) if at >= first]
         for number in numbers:
-            is_last = number == numbers[-1]
-            for record_type, body in self.read_segment(number, is_last):
-                self.take_record(record_type, body, entries, number)
+            for batch in self.read_segment(number, number == numbers[-1]):
+                self.take_batch(batch, entries)
             self.segment_number = number
-        entries = [entry for entry in entries if entry.index > self.snapshot.index]
-        expected = self.snapshot.index
-        for entry in entries:
-            expected += 1
-            if entry.index != expected:
-                raise HingepitchError("storage_damaged", f"no entry {expected}")
-        return entries
+        return list(self.entries_after_snapshot(entries))
 
     def read_segment(self, number, is_last):
-        """Yield the records of one segment; cut a torn tail of the last."""
+        """Yield the batches of one segment; cut a torn tail of the last."""
         path = self.segment_path(number)
         data = path.read_bytes()
-        offset = 0
-        while offset < len(data):
-            record = read_record(data, offset)
-            if record is None:
-                if not is_last or has_record_after(data, offset):
-                    detail = f"{path.name} at byte {offset}"
-                    raise HingepitchError("storage_damaged", detail)
-                log_event("torn_tail_cut", segment=path.name, at=offset)
-                self.cut(path, offset)
-                return
-            record_type, body, offset = record
-            yield record_type, body
+        end = 0
+        for batch, after in read_batches(data, self.sequence):
+            end = after
+            yield batch
+        if end == len(data):
+            return
+        if not is_last:
+            raise HingepitchError("storage_damaged", f"{path.name} at byte {end}")
+        log_event("torn_tail_cut", segment=path.name, at=end)
+        self.cut(path, end)
 
     def cut(self, path, size):
         """Cut a file to `size` bytes."""
         file = self.disk.open(path)
-        file.truncate(size)
-        file.close()
-
-    def take_record(self, record_type, body, entries, number):
-        """Add one record to what is recovered."""
-        if record_type == VOTE_RECORD:
-            self.vote = VOTE_DECODER.decode(body)
-            return
-        index, term, kind, payload = ENTRY_DECODER.decode(body)
-        while entries and entries[-1].index >= index:
-            entries.pop()
-        entries.append(Entry(index, term, EntryKind(kind), payload))
-        self.note_segment(number, index)
-
-    def note_segment(self, number, index):
-        """Note the highest index that a segment holds."""
-        last = self.last_index_by_segment.get(number, 0)
-        self.last_index_by_segment[number] = max(last, index)
+        try:
+            file.truncate(size)
+        finally:
+            file.close()
+
+    def take_batch(self, batch, entries):
+        """Add one batch to what is recovered."""
+        self.sequence = max(self.sequence, batch.sequence)
+        if batch.vote is not None:
+            self.vote = batch.vote
+        for entry in batch.entries:
+            while entries and entries[-1].index >= entry.index:
+                entries.pop()
+            entries.append(entry)
+
+    def entries_after_snapshot(self, entries):
+        """Yield the entries that continue the snapshot; raise on a gap."""
+        expected = self.snapshot.index + 1
+        for entry in entries:
+            if entry.index < expected:
+                continue
+            if entry.index > expected:
+                raise HingepitchError("storage_damaged", f"no entry {expected}")
+            if entry.term < self.snapshot.term:
+                # Left by earlier versions, which dropped segments out of order:
+                # the group replaced it before the snapshot.
+                return
+            expected += 1
+            yield entry
 
     def segment_path(self, number):
         """Return the path of the segment `number`."""
         return self.folder / f"segment-{number:012}"
 
+    def snapshot_path(self, index):
+        """Return the path of the snapshot at `index`."""
+        return self.folder / f"snapshot-{index:020}"
+
     def open_segment(self):
         """Open the last segment for appending, or the first one."""
         if self.segment is not None:
             self.segment.close()
-        path = self.segment_path(self.segment_number)
-        self.segment = self.disk.open(path)
+        self.segment = self.disk.open(self.segment_path(self.segment_number))
         self.segment_size = self.segment.size
         self.disk.sync_folder(self.folder)
 
+    # Damage.
+
+    def set_aside(self, reason):
+        """Rename a log that cannot be read; the one set aside before goes.
+
+        The identity goes first: without it, what is left is no log that
+        anybody would vote with, wherever a loss of power cuts this short.
+        """
+        log_event("log_set_aside", folder=self.folder, reason=reason)
+        self.set_aside_reason = reason
+        if (self.folder / IDENTITY_NAME).exists():
+            self.remove_aside()
+            self.put_aside(IDENTITY_NAME)
+            self.disk.sync_folder(self.folder)
+        for name in os.listdir(self.folder):
+            if name not in STAYING_NAMES and not name.startswith(ASIDE_PREFIX):
+                self.put_aside(name)
+        self.disk.sync_folder(self.folder)
+
+    def remove_aside(self):
+        """Remove a log that was set aside before: one is kept."""
+        for name in os.listdir(self.folder):
+            if name.startswith(ASIDE_PREFIX):
+                self.disk.remove(self.folder / name)
+
+    def put_aside(self, name):
+        """Rename one file of a log that cannot be read."""
+        self.disk.rename(self.folder / name, self.folder / f"{ASIDE_PREFIX}{name}")
+
     # Writing.
 
     def write(self, vote, entries):
         """Make a vote (or None) and entries durable, in one sync.
 
-        Raises `HingepitchError` (`storage_failed`); the folder is then as
-        it was before.
+        Raises `HingepitchError` (`storage_failed`); the folder has to be
+        opened anew then.
         """
-        frames = []
         if vote is not None:
             self.vote = vote
-            frames.append(frame(VOTE_RECORD, msgspec.msgpack.encode(vote)))
-        for entry in entries:
-            body = msgspec.msgpack.encode(
-                (entry.index, entry.term, int(entry.kind), entry.payload)
-            )
-            frames.append(frame(ENTRY_RECORD, body))
-            self.note_segment(self.segment_number, entry.index)
-        data = b"".join(frames)
+        data = encode_batch(Batch(self.sequence + 1, vote, tuple(entries)))
         try:
             run_off_loop(self.write_synced, data)
         except OSError as error:
             self.undo_write()
             raise HingepitchError("storage_failed", str(error)) from None
+        self.sequence += 1
         self.segment_size += len(data)
         self.bytes_written += len(data)
 
@@ -309,46 +383,52 @@
         self.segment.sync()
 
     def undo_write(self):
-        """Cut a write that failed half-way."""
-        self.segment.truncate(self.segment_size)
+        """Cut a write that failed half-way, if the disk takes that."""
+        try:
+            self.segment.truncate(self.segment_size)
+        except OSError as error:
+            # The next opening cuts it, or syncs what is whole.
+            log_event("storage_failed", error=str(error))
 
     # Snapshots.
 
-    def save_snapshot(self, snapshot, void_log=False):
-        """Write a snapshot; with `void_log` it replaces the whole log.
+    def save_snapshot(self, snapshot, entries=()):
+        """Write a snapshot that takes the place of the whole log.
+
+        A new segment holds what the snapshot does not, and is synced first:
+        with the snapshot all earlier files are void, also if a loss of power
+        brings their names back.
 
-        Raises `HingepitchError` (`storage_failed`); the last snapshot then
-        stays in force.
+        `entries`
+            Those after the snapshot that are in the log.
+
+        Raises `HingepitchError` (`storage_failed`); the folder has to be
+        opened anew then.
         """
-        path = self.folder / f"snapshot-{snapshot.index:020}"
-        snapshot.vote = self.vote
-        snapshot.first_segment = self.snapshot.first_segment
-        if void_log:
-            snapshot.first_segment = self.segment_number + 1
-        data = msgspec.msgpack.encode(snapshot)
         try:
+            self.segment_number += 1
+            self.open_segment()
+            self.write(self.vote, entries)
+            snapshot.vote = self.vote
+            snapshot.first_segment = self.segment_number
+            data = encode_snapshot(snapshot)
+            path = self.snapshot_path(snapshot.index)
             run_off_loop(write_whole, self.disk, path, data)
+            self.snapshot = snapshot
+            self.remove_void_files()
         except OSError as error:
             raise HingepitchError("storage_failed", str(error)) from None
-        self.snapshot = snapshot
         self.snapshot_bytes = len(data)
         self.bytes_written += len(data)
 
-    def rotate(self):
-        """Start a new segment, and drop the files that are covered."""
-        self.segment_number += 1
-        self.open_segment()
-        self.write(self.vote, [])
+    def remove_void_files(self):
+        """Remove the snapshots and segments that the last snapshot replaces."""
         for number in self.numbers(SNAPSHOT_NAME):
             if number < self.snapshot.index:
-                self.disk.remove(self.folder / f"snapshot-{number:020}")
+                self.disk.remove(self.snapshot_path(number))
         for number in self.numbers(SEGMENT_NAME):
-            last = self.last_index_by_segment.get(number, 0)
-            is_void = number < self.snapshot.first_segment
-            is_covered = number < self.segment_number and last <= self.snapshot.index
-            if is_void or is_covered:
+            if number < self.snapshot.first_segment:
                 self.disk.remove(self.segment_path(number))
-                self.last_index_by_segment.pop(number, None)
 
     def anew(self):
         """Return a store of the same folder that is not open yet."""
@@ -361,3 +441,14 @@
         for file in (segment, lock_file):
             if file is not None:
                 file.close()
+
+
+def decode_identity(data):
+    """Return the identity in `data`; raise `storage_damaged`."""
+    try:
+        identity = data.decode()
+    except UnicodeDecodeError:
+        identity = ""
+    if not identity or not identity.isprintable():
+        raise HingepitchError("storage_damaged", "not an identity")
+    return identity
--- a/hingepitch/error.py
+++ b/hingepitch/error.py
@@ -75,6 +75,7 @@
     "queue_full": ErrorKind(503, "Too many commands wait"),
     "storage_failed": ErrorKind(503, "The data folder cannot be written"),
     "storage_damaged": ErrorKind(500, "The log is damaged"),
+    "storage_unknown": ErrorKind(500, "Another version wrote the data folder"),
     "folder_locked": ErrorKind(500, "Another process uses the data folder"),
     "peer_unreachable": ErrorKind(503, "No connection to another process"),
     "peer_failed": ErrorKind(502, "The call to another process failed"),
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -31,6 +31,8 @@
     "role_changed": "INFO",
     "log_recovered": "INFO",
     "torn_tail_cut": "WARNING",
+    "log_set_aside": "CRITICAL",
+    "audit_incomplete": "ERROR",
     "snapshot_written": "INFO",
     "snapshot_installed": "INFO",
     "storage_failed": "ERROR",
