One audit trail from those of all replicas shows only what all lack

A replica says which places it has no records of. The command line merged rows by place, so such a row could hide a record of another replica, and a gap that another fills was shown.

--- a/hingepitch/admin/program.py
+++ b/hingepitch/admin/program.py
@@ -15,6 +15,7 @@
 
 from hingepitch.admin.client import AdminClient, AdminSettings
 from hingepitch.admin.table import print_line, print_rows
+from hingepitch.admin.trail import merge_trails
 from hingepitch.cmdline import run_command
 from hingepitch.error import ExitCode, HingepitchError
 from hingepitch.setting import load_settings
@@ -184,17 +185,15 @@
         f"/v1/audit?partner={partner}&operator={operator}&name={name}"
         f"&since_seconds={since_seconds}"
     )
-    by_index = {}
+    trails = []
     for address in client.settings.control:
         try:
-            rows = client.call_at(address, "GET", query)
+            trails.append(client.call_at(address, "GET", query))
         except HingepitchError as error:
             if error.code != "peer_failed":
                 raise
             print(f"{address}: no answer", file=sys.stderr)
-            continue
-        by_index.update((row["index"], row) for row in rows)
-    rows = [by_index[index] for index in sorted(by_index)]
+    rows = merge_trails(trails)
     columns = ("index", "at_seconds", "partner", "operator", "command", "name", "code")
     print_rows(rows, json, columns)
     return ExitCode.FINE
