The audit trail is bounded, and shows records that were synced and are gone

Cause: nothing bounded the trail, and it is on the disk of the log. A record holds the object before and after; with configurations of hundreds of kilobytes a disk of 128 MB is full after some hundred changes, and a full disk takes no change at all: a derived file would stop the essential one.

Names that a loss of power brings back are removed at the start. A file that is shorter than its mark, or a line that cannot be read, is shown as missing places. tests/test_audit_trail.py: the cut file was red without its mend ([(-1, 21)] in place of [(0, 20), (-1, 21)]); the others were not seen red.

--- a/hingepitch/control/audit.py
+++ b/hingepitch/control/audit.py
@@ -19,7 +19,14 @@
 
 __all__ = ["AuditRecord", "AuditTrail"]
 
+#: Largest size of all files, in bytes, unless the settings say another.
+KEEP_BYTES = 1_000_000_000
+
+#: Largest size of one file, in bytes, and its largest part of all: the oldest
+#: file goes as a whole.
 MAX_FILE_BYTES = 16_000_000
+LARGEST_PART = 0.25
+
 FILE_GLOB = "audit-*.jsonl"
 
 #: Records are written in pieces of this size, in bytes: a call of the system
@@ -92,13 +99,18 @@
         The data folder.
     `disk`
         A `hingepitch.disk.Disk`.
+    `keep_bytes`
+        Size beyond which the oldest file is removed: a trail without a bound
+        takes the disk from the log, and then no change is taken at all.
     `mark`
         How far the trail is synced.
     """
 
-    def __init__(self, folder, disk=None):
+    def __init__(self, folder, disk=None, keep_bytes=KEEP_BYTES):
         self.folder = Path(folder)
         self.disk = disk or Disk()
+        self.keep_bytes = keep_bytes
+        self.file_bytes = min(MAX_FILE_BYTES, int(keep_bytes * LARGEST_PART))
         self.file = None
         self.buffer = bytearray()
         self.number = 0
@@ -118,16 +130,23 @@
         self.mark = mark or self.find_mark(snapshot_index)
         self.number = self.mark.number
         self.last_index = self.mark.index
-        self.remove_later_files()
         self.open_file()
+        self.remove_strays()
         if self.file.size > self.mark.size:
             log_event("torn_tail_cut", segment=self.path.name, at=self.mark.size)
             self.file.truncate(self.mark.size)
         elif self.file.size < self.mark.size:
-            lost = self.mark.size - self.file.size
-            log_event("audit_incomplete", file=self.path.name, lost_bytes=lost)
+            self.note_lost(self.mark.size - self.file.size)
         self.start_next_if_full()
 
+    def note_lost(self, lost_bytes):
+        """Let a record stand for those that were synced and are gone."""
+        log_event("audit_incomplete", file=self.path.name, lost_bytes=lost_bytes)
+        self.file.truncate(self.path.read_bytes().rfind(b"\n") + 1)
+        readable = filter(None, map(decode_line, self.all_lines()))
+        self.last_index = max((record.index for record in readable), default=0)
+        self.skip_to(self.mark.index)
+
     def find_mark(self, snapshot_index):
         """Return the mark of a trail that an earlier version wrote.
 
@@ -152,10 +171,17 @@
         """The path of the file that is written."""
         return self.folder / f"audit-{self.number:06}.jsonl"
 
-    def remove_later_files(self):
-        """Remove the files begun after the last snapshot."""
-        for path in self.paths():
-            if number_of(path) > self.number:
+    def remove_strays(self):
+        """Remove files that are no part of the trail.
+
+        Those begun after the last snapshot, and those in front of a missing
+        one: they were removed, and a loss of power brought their names back.
+        """
+        expected = self.number
+        for path in reversed(self.paths()):
+            if number_of(path) == expected:
+                expected -= 1
+            else:
                 self.disk.remove(path)
 
     def open_file(self):
@@ -164,10 +190,23 @@
 
     def start_next_if_full(self):
         """Go on in a new file when this one is full."""
-        if self.file.size > MAX_FILE_BYTES:
-            self.file.close()
+        if self.file.size > self.file_bytes:
+            full = self.file
             self.number += 1
             self.open_file()
+            full.close()
+            self.remove_oldest()
+
+    def remove_oldest(self):
+        """Remove the oldest files until the rest is small enough."""
+        size_by_path = {path: path.stat().st_size for path in self.paths()}
+        excess = sum(size_by_path.values()) + self.file_bytes - self.keep_bytes
+        for path, size in size_by_path.items():
+            if excess <= 0:
+                return
+            log_event("audit_shortened", file=path.name, bytes=size)
+            self.disk.remove(path)
+            excess -= size
 
     # Writing.
 
@@ -222,7 +261,8 @@
     def read_all(self):
         """Yield all records, one in place of those that cannot be read."""
         last = 0
-        is_broken = False
+        paths = self.paths()
+        is_broken = bool(paths) and number_of(paths[0]) > 0
         for record in map(decode_line, self.all_lines()):
             if record is None:
                 is_broken = True
@@ -254,7 +294,7 @@
 
     def anew(self):
         """Return a trail of the same folder that is not open yet."""
-        return AuditTrail(self.folder, self.disk)
+        return AuditTrail(self.folder, self.disk, self.keep_bytes)
 
 
 def number_of(path):
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -38,6 +38,7 @@
 __all__ = ["Control", "main"]
 
 TRANSFER_SECONDS = 2.0
+MEGABYTE = 1_000_000
 
 #: Longest wait for an answer while the group is kept complete.
 KEEPER_CALL_SECONDS = 0.8
@@ -57,7 +58,9 @@
         self.roster = Roster(settings.lease_seconds)
         self.replica = Replica(
             Storage(settings.data_folder, settings.name, self.disk),
-            AuditTrail(settings.data_folder, self.disk),
+            AuditTrail(
+                settings.data_folder, self.disk, settings.audit_megabytes * MEGABYTE
+            ),
             PeerLinks(settings.name, settings.shared_key),
             self.roster,
             self.address_of,
--- a/hingepitch/control/settings.py
+++ b/hingepitch/control/settings.py
@@ -42,6 +42,9 @@
         Voters that the group keeps up by itself: newcomers join, and those
         that have caught up replace the ones that are gone. 0: members change
         only by an operator's hand. Default: 0.
+    `audit_megabytes`
+        Size of the audit trail beyond which its oldest part is removed.
+        Default: 1000.
     `seed`
         Seed of the election timeouts. Default: 0.
     """
@@ -51,5 +54,6 @@
     peers: Annotated[list[PeerSettings], Field(min_length=1)]
     operators: list[OperatorSettings] = []
     lease_seconds: Annotated[float, Field(ge=0.5, le=60)] = 3.0
+    audit_megabytes: Annotated[int, Field(ge=1)] = 1000
     seed: int = 0
     voters: Annotated[int, Field(ge=0, le=9)] = 0
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -33,6 +33,7 @@
     "torn_tail_cut": "WARNING",
     "log_set_aside": "CRITICAL",
     "audit_incomplete": "ERROR",
+    "audit_shortened": "INFO",
     "snapshot_written": "INFO",
     "snapshot_installed": "INFO",
     "storage_failed": "ERROR",
--- a/standin/powerdisk.py
+++ b/standin/powerdisk.py
@@ -286,6 +286,11 @@
         if self.calls_left <= 0:
             raise OSError(errno.EIO, "the power is lost")
 
+    def clear(self):
+        """Empty the folder."""
+        write_folder(self.folder, {})
+        self.restore({})
+
     def lose_power_after(self, calls):
         """Have the power lost in the call after so many more."""
         self.calls_left = calls + 1
--- /dev/null
+++ b/tests/test_audit_trail.py
@@ -0,0 +1,106 @@
+"""The audit trail is bounded, and says what it does not hold.
+
+Without a bound it took the disk from the log: records of a large configuration
+are hundreds of kilobytes, a disk of 128 MB was full after some hundred changes.
+"""
+
+import random
+
+import pytest
+
+from hingepitch.control.audit import AuditRecord, AuditTrail
+from standin.powerdisk import PowerDisk
+
+KEEP_BYTES = 40_000
+
+
+@pytest.fixture
+def disk(tmp_path):
+    (tmp_path / "data").mkdir()
+    return PowerDisk(tmp_path / "data")
+
+
+def record(index):
+    return AuditRecord(index, 5, "journeys", "joris", "PutVm", "vm", "x" * 300)
+
+
+def open_trail(disk, mark=None, snapshot_index=0):
+    trail = AuditTrail(disk.folder, disk, KEEP_BYTES)
+    trail.open(mark, snapshot_index)
+    return trail
+
+
+def fill(trail, first, last):
+    for index in range(first, last + 1):
+        trail.add(record(index))
+        if index % 20 == 0:
+            trail.sync()
+    return trail.sync()
+
+
+def indexes(trail):
+    return [one.index for one in trail.read()]
+
+
+def test_the_oldest_part_goes_and_is_shown_as_missing(disk):
+    trail = open_trail(disk)
+    fill(trail, 1, 400)
+    sizes = [path.stat().st_size for path in trail.paths()]
+    assert sum(sizes) <= KEEP_BYTES
+    first, *rest = trail.read()
+    assert (first.missing_after, first.index) == (0, rest[0].index - 1)
+    assert [one.index for one in rest] == list(range(rest[0].index, 401))
+    trail.close()
+
+
+def test_removed_files_that_come_back_are_no_part_of_it(disk):
+    for seed in range(20):
+        trail = open_trail(disk)
+        mark = fill(trail, 1, 400)
+        kept = indexes(trail)
+        trail.close()
+        disk.lose_power(random.Random(seed))
+        again = open_trail(disk, mark, 400)
+        shown = indexes(again)
+        assert shown[-len(kept) + 1 :] == kept[1:], seed
+        assert sorted(set(shown)) == shown, seed
+        again.close()
+        disk.clear()
+
+
+@pytest.mark.parametrize(("bytes_left", "records_left"), [(0, 0), (1000, 2)])
+def test_a_file_that_was_cut_is_shown_as_missing(disk, bytes_left, records_left):
+    trail = open_trail(disk)
+    mark = fill(trail, 1, 20)
+    trail.close()
+    path = trail.paths()[-1]
+    path.write_bytes(path.read_bytes()[:bytes_left])
+    again = open_trail(disk, mark, 20)
+    again.add(record(21))
+    left = [(-1, index) for index in range(1, records_left + 1)]
+    shown = [(one.missing_after, one.index) for one in again.read()]
+    assert shown == [*left, (records_left, 20), (-1, 21)]
+    again.close()
+
+
+def test_a_line_that_cannot_be_read_hides_no_other(disk):
+    trail = open_trail(disk)
+    mark = fill(trail, 1, 9)
+    trail.close()
+    path = trail.paths()[0]
+    lines = path.read_bytes().splitlines(keepends=True)
+    lines[4] = b"\x00" * (len(lines[4]) - 1) + b"\n"
+    path.write_bytes(b"".join(lines))
+    again = open_trail(disk, mark, 9)
+    assert indexes(again) == list(range(1, 10))
+    assert [one.index for one in again.read() if one.missing_after >= 0] == [5]
+    again.close()
+
+
+def test_a_trail_of_an_earlier_version_keeps_what_its_snapshot_covers(disk):
+    trail = open_trail(disk)
+    fill(trail, 1, 12)
+    trail.close()
+    again = open_trail(disk, None, 9)
+    assert indexes(again) == list(range(1, 10))
+    again.close()
