The disk that loses power leaves all that the users' page allows, and refuses calls

Read against the page: a new file whose folder no sync covered may be lost although the file itself was synced (the stand-in kept it); a loss may take all writes and leave the names, or the other way round (the stand-in took both or chose each one); a torn write was cut or in blocks of 4 KB only, and now also in pieces cut anywhere, or present with its length and zeros. Calls can be refused: so many after so many, by name, a write half-way.

--- a/standin/powerdisk.py
+++ b/standin/powerdisk.py
@@ -3,7 +3,7 @@
 ~~~~~~~~~~~~~~~~~
 
 A disk that loses power: it keeps what a sync covered, and of the rest what
-chance leaves.
+chance leaves. It also refuses calls, half-way or as a whole.
 
 :copyright: Copyright 2026 by the hingepitch maintainers.
 :license: BSD, see LICENSE for details.
@@ -12,18 +12,41 @@
 import errno
 import os
 from dataclasses import dataclass, field
+from itertools import pairwise
 from pathlib import Path
 
 import msgspec
 
 from hingepitch.disk import Disk, DiskFile
 
-__all__ = ["JournalDisk", "NotingDisk", "PowerDisk", "PowerModel", "lose_power"]
+__all__ = [
+    "GROWING_NAMES",
+    "JournalDisk",
+    "NotingDisk",
+    "PowerDisk",
+    "PowerModel",
+    "Refusal",
+    "lose_power",
+]
 
 #: Unit in which a torn write comes apart, in bytes. Source: the page of the
 #: system's file cache.
 BLOCK_BYTES = 4096
 
+#: Share of the losses that take every write, or every change of a name, that no
+#: sync covers. Source: often enough for each kind in a few tens of losses.
+TAKES_ALL_SHARE = 0.25
+
+#: What a loss may leave of one write: nothing of it, its begin, whole blocks,
+#: pieces cut anywhere, or its length only.
+FATES = ("present", "absent", "cut", "blocks", "pieces", "length")
+
+#: Calls that change the disk, and so may be refused.
+CALL_NAMES = ("create", "write", "truncate", "sync", "rename", "remove", "sync_folder")
+
+#: Calls that a full disk refuses.
+GROWING_NAMES = ("create", "write")
+
 
 class Call(msgspec.Struct, array_like=True):
     """One call that changes the disk.
@@ -115,14 +138,14 @@
     take_truncate = take_write
 
     def take_sync(self, call):
-        """A file is durable, and its name, if it is new."""
+        """What a file holds is durable; its name, if it is new, is not yet.
+
+        Some disks keep the name with the file; a folder that holds on all of
+        them syncs its names too.
+        """
         content = self.content_by_path[call.path]
         content.durable = content.now()
         content.pending.clear()
-        for one in list(self.pending_names):
-            if one[0].name == "create" and one[1] is content:
-                self.pending_names.remove(one)
-                self.durable_by_path[one[0].path] = content
 
     def take_rename(self, call):
         """A file has another name until a loss of power, and perhaps after."""
@@ -159,17 +182,18 @@
     def lose(self, rng):
         """Return the files after a loss of power: data by path.
 
-        One loss in four takes all that no sync covers; otherwise each change
-        of a name and each write is kept, taken or torn on its own.
+        Some losses take all writes that no sync covers, some all changes of
+        names; otherwise each is kept, taken or, a write, torn on its own.
         """
+        takes_names = rng.random() < TAKES_ALL_SHARE
+        takes_writes = rng.random() < TAKES_ALL_SHARE
         names = dict(self.durable_by_path)
-        takes_all = rng.random() < 0.25
         for call, content in self.pending_names:
-            if not takes_all and rng.random() < 0.5:
+            if not takes_names and rng.random() < 0.5:
                 self.keep_name(names, call, content)
         return {
             path: content.durable
-            if takes_all
+            if takes_writes
             else change(content.durable, left_of(content.pending, rng))
             for path, content in names.items()
         }
@@ -178,28 +202,43 @@
 def left_of(calls, rng):
     """Yield what a loss of power leaves of writes that no sync covers."""
     for call in calls:
-        fate = rng.choice(("present", "absent", "cut", "blocks"))
+        fate = rng.choice(FATES)
         if fate == "absent":
             continue
         if call.name == "truncate" or fate == "present":
             yield call
-        elif fate == "cut":
-            size = rng.randrange(len(call.data) + 1)
-            yield Call("write", call.path, call.offset, call.data[:size])
+        elif fate == "length":
+            yield part_of(call, 0, len(call.data), bytes(len(call.data)))
         else:
-            yield from blocks_of(call, rng)
+            yield from parts_of(call, fate, rng)
+
+
+def part_of(call, start, end, data=None):
+    """Return the bytes from `start` to `end` of a write, as a write."""
+    data = call.data[start:end] if data is None else data
+    return Call("write", call.path, call.offset + start, data)
+
+
+def parts_of(call, fate, rng):
+    """Yield some parts of a write that was torn, as writes of their own."""
+    size = len(call.data)
+    if fate == "cut":
+        yield part_of(call, 0, rng.randrange(size + 1))
+        return
+    if fate == "blocks":
+        edges = block_edges(call)
+    else:
+        edges = sorted([0, rng.randrange(size + 1), rng.randrange(size + 1), size])
+    for start, end in pairwise(edges):
+        if rng.random() < 0.5:
+            yield part_of(call, start, end)
 
 
-def blocks_of(call, rng):
-    """Yield some of the blocks of a write, as writes of their own."""
-    at = call.offset
-    end = call.offset + len(call.data)
-    while at < end:
-        after = min(end, (at // BLOCK_BYTES + 1) * BLOCK_BYTES)
-        if rng.random() < 0.5:
-            data = call.data[at - call.offset : after - call.offset]
-            yield Call("write", call.path, at, data)
-        at = after
+def block_edges(call):
+    """Return where the blocks of the file begin and end within a write."""
+    size = len(call.data)
+    first = BLOCK_BYTES - call.offset % BLOCK_BYTES
+    return [0, *range(first, size, BLOCK_BYTES), size]
 
 
 class NotingFile(DiskFile):
@@ -252,11 +291,63 @@
         self.note(Call("sync_folder", str(path)))
 
 
+class PowerFile(NotingFile):
+    """A file on a `PowerDisk`."""
+
+    def __init__(self, path, disk):
+        self.disk = disk
+        disk.check("create")
+        super().__init__(path, disk.take)
+
+    def write(self, data):
+        """Append `data`, or a part of it if the call is refused half-way."""
+        try:
+            self.disk.check("write")
+        except OSError:
+            part = bytes(data)[: int(len(data) * self.disk.refusal.part)]
+            if part:
+                super().write(part)
+            raise
+        return super().write(data)
+
+    def truncate(self, size):
+        """Cut the file."""
+        self.disk.check("truncate")
+        super().truncate(size)
+
+    def sync(self):
+        """Count what was written as synced; the true disk need not be waited for."""
+        self.disk.check("sync")
+        self.note(Call("sync", str(self.path)))
+
+
+@dataclass(slots=True)
+class Refusal:
+    """Calls that a disk refuses.
+
+    `after`
+        So many of the calls named go well before that.
+    `count`
+        So many are refused then; None: all of them.
+    `names`
+        Names of calls.
+    `part`
+        Part of a write that is done before it is refused, from 0 to 1.
+    """
+
+    after: int = 0
+    count: int | None = 1
+    names: tuple[str, ...] = CALL_NAMES
+    part: float = 0.0
+
+
 class PowerDisk(NotingDisk):
-    """A disk within one process that can lose power.
+    """A disk within one process that can lose power, and refuse calls.
 
     `folder`
         The data folder; what is in it now counts as synced.
+    `calls`
+        The calls so far that changed the disk.
     """
 
     def __init__(self, folder):
@@ -269,6 +360,47 @@
         self.model = PowerModel(data_by_path)
         self.calls = 0
         self.calls_left = None
+        self.refusal = None
+
+    @property
+    def has_power(self):
+        """Whether the power is there."""
+        return self.calls_left is None or self.calls_left > 0
+
+    # Calls.
+
+    def open(self, path):
+        """Return the file at `path`."""
+        return PowerFile(path, self)
+
+    def rename(self, old, new):
+        """Rename a file."""
+        self.check("rename")
+        super().rename(old, new)
+
+    def remove(self, path):
+        """Remove a file."""
+        self.check("remove")
+        super().remove(path)
+
+    def sync_folder(self, path):
+        """Count the names in a folder as synced."""
+        self.check("sync_folder")
+        self.note(Call("sync_folder", str(path)))
+
+    def check(self, name):
+        """Raise `OSError` if a call is refused; nothing of it is done."""
+        refusal = self.refusal
+        if refusal is None or name not in refusal.names:
+            return
+        if refusal.after > 0:
+            refusal.after -= 1
+            return
+        if refusal.count == 0:
+            return
+        if refusal.count is not None:
+            refusal.count -= 1
+        raise OSError(errno.ENOSPC, f"{name} is refused")
 
     def take(self, call):
         """Take note of a call; raise `OSError` once the power is lost.
@@ -286,9 +418,15 @@
         if self.calls_left <= 0:
             raise OSError(errno.EIO, "the power is lost")
 
+    # Troubles.
+
+    def refuse(self, refusal):
+        """Refuse calls from now on, as a `Refusal` says; None: no more."""
+        self.refusal = refusal
+
     def lose_power_after(self, calls):
-        """Have the power lost in the call after so many more."""
-        self.calls_left = calls + 1
+        """Have the power lost in the call after so many more; None: not at all."""
+        self.calls_left = None if calls is None else calls + 1
 
     def lose_power(self, rng):
         """Leave in the folder what a loss of power leaves."""
