No file is closed twice when a new one is refused

Cause: a new segment, and a new file of the audit trail, was opened after the old one had been closed; when the disk refused the new one (full, or without power), the closed file stayed in its place and was closed again at the next opening. By then its number may be another file's: an open connection would have been closed. Found by the state machine of the data folder (install, power lost at call 2); ruled out that the stand-in did it: the same with any OSError of open().

Before: tests/test_storage.py -k twice, 2 failed (bad file descriptor); after: the new file is opened first; 2 passed.

--- a/hingepitch/control/audit.py
+++ b/hingepitch/control/audit.py
@@ -165,9 +165,10 @@
     def start_next_if_full(self):
         """Go on in a new file when this one is full."""
         if self.file.size > MAX_FILE_BYTES:
-            self.file.close()
+            full = self.file
             self.number += 1
             self.open_file()
+            full.close()
 
     # Writing.
 
--- a/hingepitch/control/storage.py
+++ b/hingepitch/control/storage.py
@@ -322,9 +322,12 @@
 
     def open_segment(self):
         """Open the last segment for appending, or the first one."""
-        if self.segment is not None:
-            self.segment.close()
+        # Closed only when the next one is open: a refused call would leave a
+        # closed file to be closed again, and its number is soon a connection's.
+        before = self.segment
         self.segment = self.disk.open(self.segment_path(self.segment_number))
+        if before is not None:
+            before.close()
         self.segment_size = self.segment.size
         self.disk.sync_folder(self.folder)
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from hingepitch.control.audit import MAX_FILE_BYTES, AuditTrail
 from hingepitch.control.batch import frame
 from hingepitch.control.message import Entry, EntryKind, Member
 from hingepitch.control.storage import Snapshot, Storage, found_folder
 from hingepitch.error import HingepitchError
+from standin.powerdisk import PowerDisk, Refusal
 
 MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
 
@@ -147,6 +149,25 @@
     assert open_storage(folder)[1].entries == [entry(1), entry(2, 2)]
 
 
+@pytest.mark.parametrize("part", ["storage", "audit"])
+def test_no_file_is_closed_twice_when_the_next_one_is_refused(folder, part):
+    """Its number may be another file's by then: an open connection was closed."""
+    disk = PowerDisk(folder)
+    storage, audit = Storage(folder, "c1", disk), AuditTrail(folder, disk)
+    storage.open()
+    audit.open()
+    audit.file.size = MAX_FILE_BYTES + 1
+    disk.refuse(Refusal(names=("create",)))
+    if part == "storage":
+        with pytest.raises(HingepitchError, match="refused"):
+            storage.save_snapshot(Snapshot(1, 1, MEMBERS, b"state"))
+    else:
+        with pytest.raises(OSError, match="refused"):
+            audit.sync()
+    storage.close()
+    audit.close()
+
+
 def test_emptied_folder_is_a_new_identity_without_members(tmp_path):
     storage, recovered = open_storage(tmp_path / "fresh")
     assert recovered.identity.startswith("c1~")
