--- a/hingepitch/control/admission.py
+++ b/hingepitch/control/admission.py
@@ -51,6 +51,11 @@
         """Whether any command waits."""
         return any(self.lane_by_name.values())
 
+    @property
+    def size(self):
+        """How many commands wait."""
+        return sum(map(len, self.lane_by_name.values()))
+
     def take(self, limit):
         """Return at most `limit` commands, from each lane in turn."""
         taken = []
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -220,6 +220,7 @@
         log_event("storage_failed", error=str(error))
         self.storage_fault = str(error)
         self.fail_waiters("storage_failed")
+        self.refuse_waiting()
 
     def reopen(self):
         """Start anew from the disk; raise if it cannot be written."""
@@ -299,8 +300,12 @@
     def check_storage(self):
         """Refuse at once while the data folder cannot be written."""
         if self.storage_fault:
-            detail = self.storage_fault
-            raise HingepitchError("storage_failed", detail, retry_after_ms=1000)
+            raise self.storage_error()
+
+    def storage_error(self):
+        """Return the error for who asks while the data folder cannot be written."""
+        detail = self.storage_fault
+        return HingepitchError("storage_failed", detail, retry_after_ms=1000)
 
     def wait_for(self, result, seconds):
         """Return the value of `result`; raise `lost_leadership` on time-out."""
@@ -458,6 +463,17 @@
             result.set_exception(HingepitchError("lost_leadership", code))
         self.waiter_by_index.clear()
 
+    def refuse_waiting(self):
+        """Refuse the commands that are not in the log, and the reads.
+
+        They would wait until their time is up (4 s), without a chance.
+        """
+        waiting = self.admission.take(self.admission.size)
+        results = [one.result for one in waiting]
+        reads, self.reads_waiting = self.reads_waiting, []
+        for result in results + reads:
+            result.set_exception(self.storage_error())
+
     # Applying.
 
     def apply_up_to(self, index):
--- a/tests/power_replica.py
+++ b/tests/power_replica.py
@@ -23,6 +23,8 @@
 
     `acked`
         Id and code of each operator command that was decided, in order.
+    `tried`
+        Ids of all that were sent, in order.
     """
 
     def __init__(self, folder, seed=0):
@@ -32,11 +34,17 @@
         self.folder = folder
         self.replica = None
         self.acked = []
+        self.tried = []
         self.number = 0
         self.greenlets = []
 
     def start(self):
         """Open the folder, as a program does at its start, and lead."""
+        self.open()
+        self.lead()
+
+    def open(self):
+        """Open the folder, as a program does at its start."""
         links = SimpleNamespace(send=lambda *_: None)
         roster = SimpleNamespace(take_over=lambda now: None)
         self.replica = Replica(
@@ -48,6 +56,9 @@
             "1",
         )
         self.replica.open()
+
+    def lead(self):
+        """Run the replica until it leads, or the power is lost."""
         self.greenlets = [
             gevent.spawn(self.replica.run),
             gevent.spawn(self.replica.write_ahead),
@@ -56,6 +67,8 @@
 
     def is_ready(self):
         """Whether the replica leads and knows all that was committed."""
+        if not self.disk.has_power:
+            return True
         self.replica.put(Tick())
         gevent.sleep(0.001)
         core = self.replica.core
@@ -74,6 +87,7 @@
     def propose(self, command, name):
         """Send an operator command; note it once it is decided."""
         envelope = Envelope(Role.OPERATOR, "journeys", "someone", command, name)
+        self.tried.append(name)
         try:
             outcome = self.replica.propose(envelope)
         except HingepitchError:
@@ -88,9 +102,16 @@
     def lose_power(self):
         """End the program, and leave what a loss of power leaves."""
         self.kill()
-        self.replica.storage.lock_file.close()
+        self.let_go()
         self.disk.lose_power(self.rng)
 
+    def let_go(self):
+        """Close the files of a program that was killed; nothing is flushed."""
+        storage, audit = self.replica.storage, self.replica.audit
+        for file in (storage.segment, storage.lock_file, audit.file):
+            if file is not None:
+                file.close()
+
     def missing(self):
         """Return the VMs that were acknowledged and are not in the state."""
         vms = self.replica.state.by_kind["vm"]
