--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -56,7 +56,7 @@
         """Release what `setup` took."""
 
     def give_up(self, broken):
-        """Stop the process because a child failed too often."""
+        """Stop the process because a child cannot be started again."""
         self.exit_code = ExitCode.BROKEN_INVARIANT if broken else ExitCode.FAILED
         self.stopping.set()
 
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -178,6 +178,7 @@
             "commands_applied": replica.commands_applied,
             "storage_fault": replica.storage_fault,
             "set_aside": replica.storage.set_aside_reason,
+            "failing_children": self.supervisor.failing,
             "entries": entries,
         }
 
--- a/hingepitch/entry/program.py
+++ b/hingepitch/entry/program.py
@@ -114,6 +114,7 @@
             "version": self.follower.version,
             "has_lease": self.follower.has_lease(),
             "in_flight": self.proxy.in_flight,
+            "failing_children": self.supervisor.failing,
             "services": {
                 name: {
                     "in_flight": desk.in_flight,
--- a/hingepitch/planner/program.py
+++ b/hingepitch/planner/program.py
@@ -189,6 +189,7 @@
             "plans": lease_seconds() < self.lease_until,
             "fence": self.executor.fence,
             "pass_seconds": self.pass_seconds,
+            "failing_children": self.supervisor.failing,
             "permits": sorted(self.state.by_kind["permit"]),
             "waiting_jobs": len(self.state.waiting_job_by_name),
         }
