Words of other processes that cannot be read end no loop

Cause: addresses, answers and messages were believed to be readable wherever another program of the system had sent them. Ruled out: UnicodeDecodeError of msgspec, which raises its own DecodeError there (a ValueError); not covered were RecursionError, TypeError, KeyError, and what thrift raises for bytes. Change: the client turns them into coded errors; a message that the core cannot take is refused where it comes in; members that cannot be called neither join nor get into the book; a link goes on after an error that nothing expected; an entry or planner that cannot read its changes asks again, without a lease, and says so once for each version.

--- a/hingepitch/control/healing.py
+++ b/hingepitch/control/healing.py
@@ -19,6 +19,7 @@
 from hingepitch.jobs.question import JoinGroup, MemberRow, encode
 from hingepitch.log import log_event
 from hingepitch.peerbook import decode_rows
+from hingepitch.setting import check_address
 
 __all__ = ["GroupKeeper", "GroupView", "next_members"]
 
@@ -175,10 +176,18 @@
     # On the leader.
 
     def welcome(self, question):
-        """Note a newcomer; return the members."""
+        """Note a newcomer; return the members.
+
+        One that cannot be called must not get into the log: each replica would
+        have to send to it.
+        """
         core = self.replica.core
         if not self.replica.is_leader:
             raise HingepitchError("not_leader")
+        try:
+            check_address(question.address)
+        except ValueError as error:
+            raise HingepitchError("bad_request", f"a newcomer: {error}") from None
         applicant = Member(
             question.identity, question.name, question.address, question.hall, False
         )
--- a/hingepitch/control/peer.py
+++ b/hingepitch/control/peer.py
@@ -13,6 +13,7 @@
 import gevent
 from gevent.event import Event
 
+from hingepitch.control.membership import decode_members
 from hingepitch.control.message import Entry, EntryKind, Message, MessageKind
 from hingepitch.error import HingepitchError
 from hingepitch.gen.control.ttypes import LogEntry, PeerMessage
@@ -52,26 +53,64 @@
 
 
 def from_wire(wire):
-    """Return the `Message` of its thrift form; raise `bad_request`."""
+    """Return the `Message` of its thrift form; raise `bad_request`.
+
+    Whatever would fail in the core is refused here: there it would end the loop
+    of the replica, as often as its sender repeats it.
+    """
     try:
-        return Message(
-            kind=MessageKind(wire.kind),
-            sender=wire.sender,
-            receiver=wire.receiver,
-            term=wire.term,
-            index=wire.index or 0,
-            log_term=wire.log_term or 0,
-            commit=wire.commit or 0,
-            granted=bool(wire.granted),
-            sequence=wire.sequence or 0,
-            entries=tuple(
-                Entry(entry.index, entry.term, EntryKind(entry.kind), entry.payload)
-                for entry in wire.entries or ()
-            ),
-            snapshot=wire.snapshot or b"",
-        )
-    except ValueError as error:
-        raise HingepitchError("bad_request", str(error)) from None
+        message = to_message(wire)
+        check_message(message)
+    except (ValueError, TypeError, RecursionError) as error:
+        raise HingepitchError("bad_request", f"not a message: {error}") from None
+    return message
+
+
+def to_message(wire):
+    """Return the `Message` of its thrift form, unchecked."""
+    return Message(
+        kind=MessageKind(wire.kind),
+        sender=wire.sender,
+        receiver=wire.receiver,
+        term=wire.term,
+        index=wire.index or 0,
+        log_term=wire.log_term or 0,
+        commit=wire.commit or 0,
+        granted=bool(wire.granted),
+        sequence=wire.sequence or 0,
+        entries=tuple(
+            Entry(entry.index, entry.term, EntryKind(entry.kind), entry.payload)
+            for entry in wire.entries or ()
+        ),
+        snapshot=wire.snapshot or b"",
+    )
+
+
+def check_message(message):
+    """Raise ValueError or TypeError unless the core can take `message`."""
+    check_types(str, message.sender, message.receiver)
+    check_types(int, message.term, message.index, message.log_term, message.commit)
+    check_types(int, message.sequence)
+    check_types(bytes, message.snapshot)
+    for entry in message.entries:
+        check_types(int, entry.index, entry.term)
+        check_types(bytes, entry.payload)
+        if entry.kind is EntryKind.MEMBERS:
+            decode_members(entry.payload)
+    if message.kind is MessageKind.SNAPSHOT:
+        if [entry.kind for entry in message.entries] != [EntryKind.MEMBERS]:
+            raise ValueError("a snapshot without its members")
+        return
+    following = range(message.index + 1, message.index + 1 + len(message.entries))
+    if [entry.index for entry in message.entries] != list(following):
+        raise ValueError("entries that do not follow each other")
+
+
+def check_types(kind, *values):
+    """Raise TypeError unless all values are of `kind`, numbers not negative."""
+    for value in values:
+        if not isinstance(value, kind) or (kind is int and value < 0):
+            raise TypeError(f"expected {kind.__name__}, got {value!r:.40}")
 
 
 def take_batch(messages):
@@ -128,7 +167,19 @@
             link.filled.wait()
             link.filled.clear()
             while link.messages:
-                self.deliver(link, list(take_batch(link.messages)))
+                self.deliver_safely(link, list(take_batch(link.messages)))
+
+    def deliver_safely(self, link, batch):
+        """Deliver one batch; log a failure that nothing expected.
+
+        Nothing starts a link again that ends: its replica would get no message
+        for as long as this process lives.
+        """
+        try:
+            self.deliver(link, batch)
+        except Exception as error:
+            log_event("child_failed", child="link", error=repr(error))
+            gevent.sleep(PAUSE_AFTER_FAILURE_SECONDS)
 
     def deliver(self, link, batch):
         """Deliver one batch; on failure drop it, and what waits, and pause."""
--- a/hingepitch/entry/follower.py
+++ b/hingepitch/entry/follower.py
@@ -48,6 +48,7 @@
         self.version = 0
         self.lease_until = 0.0
         self.had_lease = False
+        self.unread_version = 0
 
     def has_lease(self):
         """Whether this entry may take work now."""
@@ -77,13 +78,23 @@
         if changes.version < self.version:
             raise HingepitchError("stale_version", "the group is behind this entry")
         if changes.version > self.version or changes.full:
-            objects = decode_changes(changes.objects)
+            objects = self.read_changes(changes)
             self.state.follow(objects, changes.version, changes.full)
             self.version = changes.version
             log_event("version_applied", version=self.version)
         self.lease_until = sent_at + changes.lease_ms / 1000
         self.note_lease("")
 
+    def read_changes(self, changes):
+        """Return the changes of an answer; raise `peer_failed`, logged once."""
+        try:
+            return decode_changes(changes.objects)
+        except HingepitchError as error:
+            if self.unread_version != changes.version:
+                self.unread_version = changes.version
+                log_event("changes_unread", version=changes.version, error=error.detail)
+            raise
+
     def note_lease(self, reason):
         """Log when the lease comes or goes."""
         has_lease = self.has_lease()
--- a/hingepitch/jobs/question.py
+++ b/hingepitch/jobs/question.py
@@ -164,5 +164,5 @@
     """Return the question of `data`; raise `bad_request`."""
     try:
         return DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, TypeError, RecursionError) as error:
         raise HingepitchError("bad_request", f"not a question: {error}") from None
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -45,6 +45,7 @@
     "lease_lost": "WARNING",
     "lease_gained": "INFO",
     "version_applied": "DEBUG",
+    "changes_unread": "ERROR",
     "wave_step": "INFO",
     "job_step": "INFO",
     "platform_failed": "WARNING",
--- a/hingepitch/model/codec.py
+++ b/hingepitch/model/codec.py
@@ -40,6 +40,10 @@
 CHANGES_DECODER = msgspec.msgpack.Decoder(list[tuple[str, str, msgspec.Raw]])
 NIL = ENCODER.encode(None)
 
+#: What bytes raise that are not what they should be, or that another version
+#: made: a name that is not known here, nesting without end, no bytes at all.
+UNREADABLE = (msgspec.MsgspecError, KeyError, TypeError, RecursionError, zlib.error)
+
 #: Envelopes from this size on are compressed, in bytes: each is sent to every
 #: replica and written by each. Source: 1.3 KB take 26 us to compress and
 #: shrink to a quarter; smaller ones took longer for less.
@@ -94,7 +98,7 @@
     try:
         *head, name, body = ENVELOPE_DECODER.decode(expand(data))
         command = COMMAND_DECODER_BY_NAME[name].decode(body)
-    except (msgspec.MsgspecError, KeyError, zlib.error) as error:
+    except UNREADABLE as error:
         raise HingepitchError("bad_request", f"not a command: {error}") from None
     role, partner, actor, command_id, base_version, fence, at_seconds = head
     return Envelope(
@@ -108,8 +112,11 @@
 
 
 def decode_outcome(data):
-    """Return the `Outcome` of `data`."""
-    return OUTCOME_DECODER.decode(data)
+    """Return the `Outcome` of `data`; raise `peer_failed`."""
+    try:
+        return OUTCOME_DECODER.decode(data)
+    except UNREADABLE as error:
+        raise HingepitchError("peer_failed", f"not an outcome: {error}") from None
 
 
 def encode_changes(changes):
@@ -118,11 +125,23 @@
 
 
 def decode_changes(data):
-    """Yield `(kind, key, record or None)` of `data`."""
-    for kind, key, raw in CHANGES_DECODER.decode(data):
-        is_nil = bytes(raw) == NIL
-        record = None if is_nil else RECORD_DECODER_BY_KIND[kind].decode(raw)
-        yield kind, key, record
+    """Return a list of `(kind, key, record or None)` of `data`.
+
+    Raises `peer_failed`: one that cannot be read makes all of them useless, for
+    a state that lacks a change must not be worked by.
+    """
+    try:
+        rows = CHANGES_DECODER.decode(data)
+        return [(kind, key, decode_record(kind, raw)) for kind, key, raw in rows]
+    except UNREADABLE as error:
+        raise HingepitchError("peer_failed", f"not changes: {error}") from None
+
+
+def decode_record(kind, raw):
+    """Return the record of `kind` in `raw`, or None for one that is gone."""
+    if bytes(raw) == NIL:
+        return None
+    return RECORD_DECODER_BY_KIND[kind].decode(raw)
 
 
 def to_plain(value):
--- a/hingepitch/peerbook.py
+++ b/hingepitch/peerbook.py
@@ -18,6 +18,7 @@
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.question import AskMembers, MemberRow, encode
 from hingepitch.log import log_event
+from hingepitch.setting import check_address
 
 __all__ = ["PeerBook", "decode_rows"]
 
@@ -29,11 +30,27 @@
 
 
 def decode_rows(answer):
-    """Return the list of `MemberRow` of an answer; raise `bad_request`."""
+    """Return the list of `MemberRow` of an answer; raise `bad_request`.
+
+    Those that cannot be called are left out.
+    """
     try:
-        return ROWS_DECODER.decode(answer)
-    except msgspec.MsgspecError as error:
+        rows = ROWS_DECODER.decode(answer)
+    except (msgspec.MsgspecError, TypeError, RecursionError) as error:
         raise HingepitchError("bad_request", f"not members: {error}") from None
+    callable_rows = [row for row in rows if is_callable(row)]
+    if len(callable_rows) < len(rows):
+        log_event("rows_unread", of="members", count=len(rows) - len(callable_rows))
+    return callable_rows
+
+
+def is_callable(row):
+    """Whether the address of a member is one."""
+    try:
+        check_address(row.address)
+    except ValueError:
+        return False
+    return True
 
 
 class PeerBook:
@@ -58,8 +75,8 @@
         if self.path is None or not self.path.exists():
             return
         try:
-            self.rows = ROWS_DECODER.decode(self.path.read_bytes())
-        except (OSError, msgspec.MsgspecError) as error:
+            self.rows = decode_rows(self.path.read_bytes())
+        except (OSError, HingepitchError) as error:
             log_event("storage_failed", file=FILE_NAME, error=error)
 
     def addresses(self):
--- a/hingepitch/planner/program.py
+++ b/hingepitch/planner/program.py
@@ -116,7 +116,7 @@
         changes = self.group.call("watch", self.version, wait_ms, seconds=3.0)
         if changes.version <= self.version:
             return
-        objects = list(decode_changes(changes.objects))
+        objects = decode_changes(changes.objects)
         for kind, key, record in objects:
             self.scope.note_change(self.state, kind, key, record)
         self.scope.is_full |= changes.full
--- a/hingepitch/rpc.py
+++ b/hingepitch/rpc.py
@@ -34,6 +34,10 @@
 CHALLENGE_BYTES = 32
 IDLE_SECONDS = 120
 
+#: What a call may meet: no connection, or an answer or an address that cannot be
+#: read. Thrift raises the last three for bytes that make no answer.
+CALL_ERRORS = (TException, OSError, EOFError, ValueError, TypeError, OverflowError)
+
 
 class LimitedTransport(TFramedTransport):
     """Framed transport that refuses frames over `max_frame_bytes`."""
@@ -158,7 +162,7 @@
         except TTransportException as error:
             if error.type == TTransportException.SIZE_LIMIT:
                 log_event("bad_frame", peer=peer[0], error=error)
-        except (TException, OSError, EOFError, ValueError, TypeError) as error:
+        except CALL_ERRORS as error:
             log_event("bad_frame", peer=peer[0], error=repr(error))
         finally:
             sock.close()
@@ -214,7 +218,7 @@
                     return getattr(self.stub, method)(*arguments)
             except Refused as error:
                 raise self.to_error(error) from None
-            except (TException, OSError, EOFError, gevent.Timeout) as error:
+            except (*CALL_ERRORS, gevent.Timeout) as error:
                 self.close()
                 detail = f"{self.address}: {error!r}"
                 raise HingepitchError(code, detail) from None
--- a/hingepitch/setting.py
+++ b/hingepitch/setting.py
@@ -22,6 +22,7 @@
     "DaemonSettings",
     "PeerSettings",
     "Settings",
+    "check_address",
     "hash_token",
     "load_settings",
     "parse_address",
