A replica keeps what it cannot read, votes, and does not lead

Cause: an entry or a state of a later version raised in the loop of the replica, which starts anew from the disk and meets it again: eight times, then the process ended, and each start after that. Ruled out: passing the entry over (its state would differ for good), refusing it when it comes (a later version could commit nothing while earlier ones are needed for the quorum), ending (takes a vote away that the others need).

A rule that fails is taken the same way. A later version finds the entry in the log and applies it. A follower that may not lead forgets a silent leader when its time is over: else its vote would be refused for half of the time. Left: such a replica keeps its whole log until it reads it, on disk and in memory; a group in which nobody reads an entry has no leader until one does.

--- a/hingepitch/control/consensus.py
+++ b/hingepitch/control/consensus.py
@@ -27,6 +27,7 @@
     Entry,
     EntryKind,
     Install,
+    MayLead,
     Message,
     MessageKind,
     Propose,
@@ -116,6 +117,8 @@
     those that have them before `Durable` says so. Once a replica no longer
     leads, all that was written ahead must be durable before it sends.
 
+    `may_lead`
+        False for a replica that stores and votes, but cannot apply the log.
     `durable_index`
         Up to which entry this replica's own disk has the log, while it leads.
     """
@@ -131,6 +134,7 @@
         self.commit_index = recovered.snapshot_index
         self.durable_index = self.log.last_index
         self.role = FOLLOWER
+        self.may_lead = True
         self.membership = MemberHistory(recovered.snapshot_index, recovered.members)
         for entry in recovered.entries:
             self.note_members(entry)
@@ -240,6 +244,12 @@
         if progress is not None and event.term == self.term:
             progress.is_snapshot_lost = True
 
+    @handle.register
+    def _(self, event: MayLead):
+        self.may_lead = event.is_allowed
+        if not self.may_lead and self.role != FOLLOWER:
+            self.become_follower(self.term, "")
+
     @handle.register
     def _(self, event: Transfer):
         if self.role != LEADER:
@@ -293,6 +303,10 @@
         self.election_ticks = self.draw_election_ticks()
         if self.identity not in self.voters:
             return
+        if not self.may_lead:
+            # Its vote is free for another one from now on.
+            self.set_role(FOLLOWER, "")
+            return
         self.set_role(PRE_CANDIDATE, "")
         self.votes = {self.identity: True}
         if self.has_votes():
@@ -369,7 +383,8 @@
 
     def on_campaign_now(self, message):
         """Start an election at once: the leader hands over."""
-        if message.term == self.term and self.identity in self.voters:
+        is_free = self.may_lead and self.identity in self.voters
+        if message.term == self.term and is_free:
             self.start_election(transferred=True)
 
     def has_votes(self):
--- a/hingepitch/control/handler.py
+++ b/hingepitch/control/handler.py
@@ -94,6 +94,7 @@
 
     def watch(self, after_version, wait_ms):
         """Return the changes for a planner after a version."""
+        self.replica.check_read()
         return self.changes("planning", after_version, wait_ms / 1000)
 
     def sync(self, request):
--- a/hingepitch/control/membership.py
+++ b/hingepitch/control/membership.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from hingepitch.control.message import Member
+from hingepitch.error import HingepitchError
 
 __all__ = ["MemberHistory", "decode_members", "encode_members"]
 
@@ -21,8 +22,11 @@
 
 
 def decode_members(data):
-    """Return the tuple of `Member` of `data`."""
-    return msgspec.msgpack.decode(data, type=tuple[Member, ...])
+    """Return the tuple of `Member` of `data`; raise `storage_unknown`."""
+    try:
+        return msgspec.msgpack.decode(data, type=tuple[Member, ...])
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise HingepitchError("storage_unknown", f"not members: {error}") from None
 
 
 class MemberHistory:
--- a/hingepitch/control/message.py
+++ b/hingepitch/control/message.py
@@ -18,6 +18,7 @@
     "Entry",
     "EntryKind",
     "Install",
+    "MayLead",
     "Member",
     "Message",
     "MessageKind",
@@ -178,6 +179,13 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True)
+class MayLead:
+    """Whether this replica may lead: not while its state lacks an entry."""
+
+    is_allowed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Transfer:
     """Hand the leadership to the voter that is the least behind."""
--- a/hingepitch/control/operator.py
+++ b/hingepitch/control/operator.py
@@ -196,6 +196,7 @@
     def on_get_watch(self, req, resp):
         """Answer what changed after a version; waits a while for news."""
         self.authenticator.operator(req)
+        self.replica.check_read()
         after = req.get_param_as_int("after", default=0)
         deadline = lease_seconds() + LONGEST_WAIT_SECONDS
         state = self.replica.state
--- a/hingepitch/control/peer.py
+++ b/hingepitch/control/peer.py
@@ -61,7 +61,7 @@
     try:
         message = to_message(wire)
         check_message(message)
-    except (ValueError, TypeError, RecursionError) as error:
+    except (ValueError, TypeError, HingepitchError) as error:
         raise HingepitchError("bad_request", f"not a message: {error}") from None
     return message
 
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -152,8 +152,9 @@
         return self.book.address_of(identity)
 
     def is_healthy(self):
-        """Whether this replica knows a leader and can write."""
-        return bool(self.replica.core.leader) and not self.replica.storage_fault
+        """Whether this replica knows a leader, can write, and reads the log."""
+        replica = self.replica
+        return bool(replica.core.leader) and not replica.storage_fault + replica.unread
 
     def status(self):
         """Return the status of this replica as plain values."""
@@ -177,6 +178,7 @@
             "snapshot_index": replica.storage.snapshot.index,
             "commands_applied": replica.commands_applied,
             "storage_fault": replica.storage_fault,
+            "unread": replica.unread,
             "set_aside": replica.storage.set_aside_reason,
             "failing_children": self.supervisor.failing,
             "entries": entries,
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -27,6 +27,7 @@
     Entry,
     EntryKind,
     Install,
+    MayLead,
     Message,
     MessageKind,
     Propose,
@@ -103,6 +104,9 @@
         Function from an identity to its address, or None.
     `seed`
         Seed of the election timeouts.
+    `unread`
+        The entry or the state that cannot be read, and why; empty if all can.
+        What comes after it is stored but not applied, so `state` is not used.
     """
 
     def __init__(self, storage, audit, links, roster, address_of, seed):
@@ -128,6 +132,7 @@
         self.log_bytes = 0
         self.proposed_at = 0.0
         self.storage_fault = ""
+        self.unread = ""
         self.must_reopen = False
 
     # Life cycle.
@@ -167,10 +172,17 @@
         self.audit = self.audit.anew()
 
     def load_snapshot(self, snapshot):
-        """Take the state of `snapshot`."""
-        self.state = State.from_snapshot(snapshot.state) if snapshot.state else State()
+        """Take the state of `snapshot`; one that cannot be read stays stored."""
+        self.unread = ""
+        self.state = State()
         self.applied_index = snapshot.index
         self.applied_term = snapshot.term
+        try:
+            if snapshot.state:
+                self.state = State.from_snapshot(snapshot.state)
+            self.put(MayLead(True))
+        except HingepitchError as error:
+            self.note_unread(f"state at {snapshot.index}", error)
         self.wake_followers()
 
     def run(self):
@@ -302,6 +314,14 @@
             detail = self.storage_fault
             raise HingepitchError("storage_failed", detail, retry_after_ms=1000)
 
+    def check_read(self):
+        """Raise `lost_leadership` while the state lacks an entry.
+
+        Whoever asks may ask another replica then.
+        """
+        if self.unread:
+            raise HingepitchError("lost_leadership", self.unread, retry_after_ms=1000)
+
     def wait_for(self, result, seconds):
         """Return the value of `result`; raise `lost_leadership` on time-out."""
         try:
@@ -312,9 +332,11 @@
     def wait_applied(self, index, seconds):
         """Return once `index` is applied; raise `lost_leadership`."""
         deadline = lease_seconds() + seconds
+        self.check_read()
         while self.applied_index < index:
             if not self.wait_change(deadline - lease_seconds()):
                 raise HingepitchError("lost_leadership", "not applied in time")
+            self.check_read()
 
     def wait_change(self, seconds):
         """Wait for a change of the state; return whether there was one."""
@@ -461,12 +483,29 @@
     # Applying.
 
     def apply_up_to(self, index):
-        """Apply the committed entries up to `index`."""
+        """Apply the committed entries up to `index`, or to one that is unread."""
         count = index - self.applied_index
         for entry in self.core.log.after(self.applied_index, count):
-            self.apply_entry(entry)
+            if self.unread:
+                break
+            try:
+                self.apply_entry(entry)
+            except HingepitchError as error:
+                self.note_unread(f"entry {entry.index}", error)
         self.wake_followers()
 
+    def note_unread(self, what, error):
+        """Apply nothing more, and lead no more, until a version does that can.
+
+        An entry that was passed over would make this state differ from that of
+        the others for good. Ended by it, the program would end at each start,
+        and take with it a vote that the others need.
+        """
+        self.unread = f"{what}: {error}"
+        log_event("entry_unread", what=what, error=error)
+        self.put(MayLead(False))
+        self.fail_waiters(self.unread)
+
     def apply_entry(self, entry):
         """Apply one entry and tell who waits for it."""
         outcome = None
@@ -484,13 +523,20 @@
             result.set_exception(HingepitchError("lost_leadership", "overwritten"))
 
     def apply_command(self, entry):
-        """Apply a command; add it to the audit trail if an operator's."""
+        """Apply a command; add it to the audit trail if an operator's.
+
+        Raises `bad_request` if it cannot be read, `internal` if its rule fails.
+        """
         envelope = decode_envelope(entry.payload)
         kind, name = object_of(envelope.command)
         before = self.state.get(kind, name) if kind else None
         is_audited = envelope.role is Role.OPERATOR
         is_audited &= not is_resend(self.state, envelope)
-        outcome = apply(self.state, envelope, entry.index)
+        try:
+            outcome = apply(self.state, envelope, entry.index)
+        except Exception as error:
+            # All replicas of this version fail at it, whatever it was.
+            raise HingepitchError("internal", f"a rule failed: {error!r}") from error
         self.commands_applied += 1
         if is_audited:
             after = self.state.get(kind, name) if kind else None
@@ -515,6 +561,8 @@
 
     def snapshot_if_due(self):
         """Write a snapshot when enough entries were applied."""
+        if self.unread:
+            return
         entries = self.applied_index - self.storage.snapshot.index
         if not is_snapshot_due(entries, self.log_bytes, self.storage.snapshot_bytes):
             return
@@ -539,6 +587,8 @@
 
     def send_snapshot(self, action):
         """Send the present state to a follower that is too far behind."""
+        if self.unread:
+            return
         snapshot = self.make_snapshot()
         members = Entry(
             snapshot.index,
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -46,6 +46,7 @@
     "lease_gained": "INFO",
     "version_applied": "DEBUG",
     "changes_unread": "ERROR",
+    "entry_unread": "CRITICAL",
     "wave_step": "INFO",
     "job_step": "INFO",
     "platform_failed": "WARNING",
--- a/hingepitch/model/state.py
+++ b/hingepitch/model/state.py
@@ -13,8 +13,9 @@
 
 import msgspec
 
+from hingepitch.error import HingepitchError
 from hingepitch.jobs.table import JobTable, TableContent
-from hingepitch.model.codec import ENCODER, RECORD_DECODER_BY_KIND
+from hingepitch.model.codec import ENCODER, RECORD_DECODER_BY_KIND, UNREADABLE
 from hingepitch.model.command import Outcome
 from hingepitch.model.index import Index
 from hingepitch.model.record import PLACED_STATES, RECORD_BY_KIND, JobState, Life
@@ -31,6 +32,10 @@
 #: Changes kept for followers; who is further behind gets everything.
 MAX_FEED_CHANGES = 50_000
 
+#: What a state of another version raises: of other types, without a part, or
+#: with parts that do not fit each other.
+SNAPSHOT_ERRORS = (*UNREADABLE, LookupError, AttributeError, ValueError)
+
 
 class Feed:
     """The changes of some kinds of records, by version.
@@ -222,7 +227,16 @@
 
     @classmethod
     def from_snapshot(cls, data):
-        """Return the state of the bytes `data`."""
+        """Return the state of the bytes `data`; raise `storage_unknown`."""
+        try:
+            return cls.read_snapshot(data)
+        except SNAPSHOT_ERRORS as error:
+            detail = f"not a state: {error!r}"
+            raise HingepitchError("storage_unknown", detail) from None
+
+    @classmethod
+    def read_snapshot(cls, data):
+        """Return the state of the bytes `data`, unless one of many errors comes."""
         raw = msgspec.msgpack.decode(data, type=dict[str, msgspec.Raw])
         state = cls()
         tables = msgspec.msgpack.decode(
--- /dev/null
+++ b/tests/test_site_ends.py
@@ -0,0 +1,99 @@
+"""Real programs that meet what ended programs for good, at their start or later.
+
+The record of the incident shows programs that were started again and ended at
+the same line each time. These tests bring about other causes of the same kind:
+a program of an earlier version in the group, addresses and a data folder that
+are still in use. Each has to wait, or to go on without what it lacks.
+"""
+
+import json
+import sys
+
+import pytest
+
+from standin.cluster import http_call, wait_for
+from standin.site import Site
+
+JOBS = [f"{number:016x}" for number in range(1, 11)]
+
+#: Starts a control program that does not know one kind of command.
+EARLIER_VERSION = """
+import runpy, sys
+sys.path[:0] = [".", "platform"]
+from hingepitch.patch import patch_program
+patch_program()
+from hingepitch.model import codec
+del codec.COMMAND_DECODER_BY_NAME["PutWave"]
+sys.argv = ["platform/main.py", "control"]
+runpy.run_path("platform/main.py", run_name="__main__")
+"""
+
+
+@pytest.fixture
+def site():
+    with Site() as made:
+        made.start()
+        assert made.put_config(1) == 200
+        yield made
+
+
+def start_earlier_version(site, ip):
+    process = site.process_by_ip[ip]
+    process.kill()
+    later, process.command = process.command, [sys.executable, "-c", EARLIER_VERSION]
+    process.start()
+    process.command = later
+    wait_for(lambda: site.status(ip), what="the earlier version")
+
+
+def put_wave(site):
+    body = {"wave": 1, "machines": ["m-0"], "duration_s": 30, "max_items": 1}
+    return site.on_any_control("POST", "/-/wave-start", json.dumps(body))[0]
+
+
+def finish(site, jobs):
+    done = ["succeeded"] * len(jobs)
+    wait_for(lambda: [site.state(job) for job in jobs] == done, 40, "the jobs' end")
+    assert not site.doubled_tasks()
+
+
+def test_programs_of_an_earlier_version_store_and_vote_and_go_on(site):
+    leader = site.leader()
+    earlier = [ip for ip in site.control_ips if ip != leader][:2]
+    for ip in earlier:
+        start_earlier_version(site, ip)
+    assert put_wave(site) == 200
+    wait_for(lambda: all(site.status(ip)["unread"] for ip in earlier), what="unread")
+    # Three are left of five; two of them are the earlier ones.
+    others = [ip for ip in site.control_ips if ip not in earlier]
+    for ip in others[:2]:
+        site.process_by_ip[ip].kill()
+    assert site.submit(JOBS[0], 2) == 200
+    finish(site, JOBS[:1])
+    assert site.leader() == others[2]
+    for ip in earlier:
+        assert site.process_by_ip[ip].is_running()
+        assert site.process_by_ip[ip].log().count("event=entry_unread") == 1
+        assert http_call(f"{ip}:{site.port}", "GET", "/healthz")[0] == 503
+    # Started as the later version, one of them takes the place of the leader.
+    for ip in earlier:
+        site.restart(ip)
+    for ip in others[:1]:
+        site.restart(ip)
+    site.process_by_ip[others[2]].kill()
+    assert site.submit(JOBS[1], 2) == 200
+    finish(site, JOBS[:2])
+    assert not any(site.status(ip)["unread"] for ip in earlier)
+
+
+def test_a_leader_of_an_earlier_version_hands_over_and_goes_on(site):
+    for ip in site.control_ips:
+        start_earlier_version(site, ip)
+    for ip in site.control_ips[:2]:
+        site.restart(ip)
+    wait_for(site.leader, what="a leader")
+    assert put_wave(site) == 200
+    wait_for(lambda: site.leader() in site.control_ips[:2], 40, "a leader that can")
+    assert site.submit(JOBS[0], 2) == 200
+    finish(site, JOBS[:1])
+    assert all(site.process_by_ip[ip].is_running() for ip in site.control_ips)
