--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -46,6 +46,8 @@
     "lease_lost": "WARNING",
     "lease_gained": "INFO",
     "version_applied": "DEBUG",
+    "changes_unread": "ERROR",
+    "entry_unread": "CRITICAL",
     "wave_step": "INFO",
     "job_step": "INFO",
     "platform_failed": "WARNING",
