--- a/hingepitch/admin/program.py
+++ b/hingepitch/admin/program.py
@@ -31,6 +31,19 @@
     "job": ("name", "partner", "team", "pool", "state", "vm", "attempts"),
 }
 
+#: What the status shows of each replica: who it is, and what its folder holds.
+STATUS_COLUMNS = (
+    "address",
+    "identity",
+    "hall",
+    "role",
+    "term",
+    "snapshot_index",
+    "last_index",
+    "applied_index",
+    "fault",
+)
+
 
 def open_client(settings):
     """Return the client for a settings file."""
@@ -128,8 +141,7 @@
     """
     client = open_client(settings)
     rows = [replica_status(client, address) for address in client.settings.control]
-    columns = ("address", "name", "hall", "role", "term", "applied_index", "fault")
-    print_rows(rows, json, columns)
+    print_rows(rows, json, STATUS_COLUMNS)
     leaders = [row for row in rows if row.get("role") == "leader"]
     if leaders and not json:
         newest = max(leaders, key=lambda row: row["term"])
@@ -144,7 +156,17 @@
         answer = client.call_at(address, "GET", "/status")
     except HingepitchError as error:
         return {"address": address, "fault": error.detail}
-    return {"address": address, "fault": answer["storage_fault"], **answer}
+    return {"address": address, "fault": fault_of(answer), **answer}
+
+
+def fault_of(answer):
+    """Return what is wrong with the data folder of a replica, or an empty text."""
+    faults = (
+        answer["storage_fault"],
+        answer["unread"] and f"cannot read {answer['unread']}",
+        answer["set_aside"] and f"log set aside: {answer['set_aside']}",
+    )
+    return "; ".join(filter(None, faults))
 
 
 def explain(kind: str, name: str, *, settings: str = DEFAULT_SETTINGS):
--- a/hingepitch/control/audit.py
+++ b/hingepitch/control/audit.py
@@ -104,6 +104,8 @@
         takes the disk from the log, and then no change is taken at all.
     `mark`
         How far the trail is synced.
+    `missing_places`
+        Places of the log whose records were found missing since it was opened.
     """
 
     def __init__(self, folder, disk=None, keep_bytes=KEEP_BYTES):
@@ -115,6 +117,7 @@
         self.buffer = bytearray()
         self.number = 0
         self.last_index = 0
+        self.missing_places = 0
         self.mark = TrailMark(0, 0, 0)
 
     # Opening.
@@ -225,6 +228,7 @@
         The state came from another replica, without the changes before it.
         """
         if index > self.last_index:
+            self.missing_places += index - self.last_index
             self.add(missing_records(self.last_index, index))
 
     def flush(self):
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -55,6 +55,7 @@
         settings = self.settings
         self.disk = self.disk_class()
         self.metrics = Metrics(self.program)
+        self.metrics.probes.append(self.measure_folder)
         self.roster = Roster(settings.lease_seconds)
         self.replica = Replica(
             Storage(settings.data_folder, settings.name, self.disk),
@@ -154,6 +155,20 @@
                 return peer.address
         return self.book.address_of(identity)
 
+    def measure_folder(self):
+        """Set the figures of the data folder."""
+        replica = self.replica
+        self.metrics.set(
+            "log_set_aside",
+            "1 if the log could not be read at the last opening.",
+            int(bool(replica.storage.set_aside_reason)),
+        )
+        self.metrics.set(
+            "audit_places_missing",
+            "Places of the log whose audit records were found missing since the start.",
+            replica.audit.missing_places,
+        )
+
     def is_healthy(self):
         """Whether this replica knows a leader, can write, and reads the log."""
         replica = self.replica
@@ -178,6 +193,7 @@
             "routing_version": now,
             "applied_index": replica.applied_index,
             "commit_index": replica.core.commit_index,
+            "last_index": replica.core.log.last_index,
             "snapshot_index": replica.storage.snapshot.index,
             "commands_applied": replica.commands_applied,
             "storage_fault": replica.storage_fault,
--- a/hingepitch/metric.py
+++ b/hingepitch/metric.py
@@ -42,6 +42,8 @@
         Counters and gauges, which are rendered first, and histograms. Readers
         that keep only the beginning of the text (4 KB were seen) lost every
         counter of a leader behind the buckets of one histogram.
+    `probes`
+        Functions that set gauges, called before each rendering.
     """
 
     def __init__(self, program):
@@ -49,6 +51,7 @@
         self.histograms = Registry()
         self.labels = {"program": program}
         self.metric_by_name = {}
+        self.probes = []
         self.started = time.monotonic()
 
     def make(self, kind, name, doc, **options):
@@ -80,6 +83,8 @@
 
     def render(self):
         """Return `(bytes, content type)` of all metrics."""
+        for probe in self.probes:
+            probe()
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.set("cpu_seconds", "Processor time used.", usage.ru_utime + usage.ru_stime)
         self.set("resident_bytes_max", "Largest resident set.", usage.ru_maxrss * 1024)
--- a/tests/test_audit_trail.py
+++ b/tests/test_audit_trail.py
@@ -81,6 +81,7 @@
     left = [(-1, index) for index in range(1, records_left + 1)]
     shown = [(one.missing_after, one.index) for one in again.read()]
     assert shown == [*left, (records_left, 20), (-1, 21)]
+    assert again.missing_places == 20 - records_left
     again.close()
 
 
