A set-aside that a loss of power cuts short is finished, and takes only the log

Cause: without an identity, only a segment showed that a log was there. Ruled out: the order of the renames (each is kept or lost on its own, whatever the order). And a set-aside renamed every file in the folder, those of others too (lost+found, notes).

--- a/hingepitch/control/storage.py
+++ b/hingepitch/control/storage.py
@@ -44,8 +44,10 @@
 #: Begin the names of whole files that are being written.
 LEFTOVER_PREFIXES = (".identity", ".snapshot-")
 
-#: Files that stay when a log is set aside: they say nothing of the group's past.
-STAYING_NAMES = (LOCK_NAME, "peers")
+#: Files that are set aside with a log; all others say nothing of its past.
+LOG_NAME = re.compile(
+    r"identity|segment-\d{12}|snapshot-\d{20}|audit-\d{6,}\.jsonl", re.ASCII
+)
 
 
 class TrailMark(msgspec.Struct, frozen=True):
@@ -231,12 +233,27 @@
         path = self.folder / IDENTITY_NAME
         if path.exists():
             return decode_identity(path.read_bytes())
-        if self.numbers(SEGMENT_NAME):
+        if self.holds_old_log():
             raise HingepitchError("storage_damaged", "a log without an identity")
         identity = f"{self.name}~{uuid.uuid4().hex[:8]}"
         write_whole(self.disk, path, identity.encode())
         return identity
 
+    def holds_old_log(self):
+        """Whether a folder without an identity holds what another one wrote.
+
+        All of it counts, not the segments alone: a loss of power that cuts a
+        set-aside short may leave the snapshot, or the audit trail, which a new
+        identity would take for its own. Only a founding that was cut short
+        leaves its snapshot, and nothing else.
+        """
+        names = os.listdir(self.folder)
+        was_set_aside = any(name.startswith(ASIDE_PREFIX) for name in names)
+        left = {name for name in names if LOG_NAME.fullmatch(name)}
+        if not was_set_aside:
+            left.discard(self.snapshot_path(0).name)
+        return bool(left)
+
     def numbers(self, pattern):
         """Return the numbers in the file names that match `pattern`."""
         matches = (pattern.match(name) for name in os.listdir(self.folder))
@@ -346,7 +363,7 @@
             self.put_aside(IDENTITY_NAME)
             self.disk.sync_folder(self.folder)
         for name in os.listdir(self.folder):
-            if name not in STAYING_NAMES and not name.startswith(ASIDE_PREFIX):
+            if LOG_NAME.fullmatch(name):
                 self.put_aside(name)
         self.disk.sync_folder(self.folder)
 
--- /dev/null
+++ b/tests/test_set_aside.py
@@ -0,0 +1,115 @@
+"""A log that cannot be read is set aside, also where losses of power cut that short.
+
+Control programs that could not read their folder ended at each start. Such a
+folder is set aside, and the replica comes back as one that has lost its disk.
+Here the power is lost in each call of that, with several outcomes: in the end
+there is a new identity that knows nothing of the past, and each file of the old
+log is still there for the operator.
+"""
+
+import random
+
+import pytest
+
+from hingepitch.control.audit import AuditRecord, AuditTrail
+from hingepitch.control.message import Entry, EntryKind, Member
+from hingepitch.control.storage import Snapshot, Storage, found_folder
+from standin.powerdisk import PowerDisk, read_folder
+
+MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
+SEEDS = range(4)
+
+#: More than the calls of a set-aside and of the opening after it.
+CALLS = 20
+
+
+def entry(index):
+    return Entry(index, 1, EntryKind.COMMAND, b"payload %d" % index)
+
+
+def fill(folder, snapshot_index):
+    """Write votes, entries, records of the trail and perhaps a snapshot."""
+    found_folder(folder, "c1", MEMBERS)
+    storage, audit = Storage(folder, "c1"), AuditTrail(folder)
+    storage.open()
+    audit.open()
+    storage.write((1, "c1"), [entry(1), entry(2)])
+    audit.add(AuditRecord(1, 1, "journeys", "someone", "PutVm", "vm", "vm-1"))
+    mark = audit.sync()
+    if snapshot_index:
+        snapshot = Snapshot(snapshot_index, 1, MEMBERS, b"state", trail=mark)
+        storage.save_snapshot(snapshot, [entry(2)])
+    storage.write(None, [entry(3)])
+    storage.write(None, [entry(4)])
+    audit.close()
+    storage.close()
+
+
+def damage(path):
+    data = bytearray(path.read_bytes())
+    data[len(data) // 3] ^= 0xFF
+    path.write_bytes(data)
+
+
+def open_all(folder, disk):
+    """Open the folder as a replica does; return the storage and what it holds."""
+    storage, audit = Storage(folder, "c1", disk), AuditTrail(folder, disk)
+    try:
+        recovered = storage.open()
+        audit.open(storage.snapshot.trail, storage.snapshot.index)
+    finally:
+        audit.close()
+        storage.close()
+    return storage, recovered
+
+
+def check(folder, kept):
+    """The replica knows nothing of the past, which is there beside it."""
+    _, recovered = open_all(folder, PowerDisk(folder))
+    assert recovered.identity.startswith("c1~")
+    assert (recovered.members, recovered.entries) == ((), [])
+    assert (recovered.term, recovered.voted_for) == (0, "")
+    for name, data in kept.items():
+        assert (folder / f"set-aside-{name}").read_bytes() == data
+    return recovered.identity
+
+
+@pytest.mark.parametrize("snapshot_index", [0, 1])
+@pytest.mark.parametrize("name", ["identity", "segment-*", "snapshot-*"])
+def test_a_set_aside_that_losses_cut_short_is_finished(tmp_path, name, snapshot_index):
+    for seed in SEEDS:
+        for after in range(CALLS):
+            folder = tmp_path / f"data-{seed}-{after}"
+            fill(folder, snapshot_index)
+            damage(next(folder.glob(name)))
+            disk = PowerDisk(folder)
+            kept = read_folder(folder)
+            kept = {path.rpartition("/")[2]: data for path, data in kept.items()}
+            kept.pop("lock")
+            disk.lose_power_after(after)
+            try:
+                open_all(folder, disk)
+            except OSError:
+                assert not disk.has_power
+            disk.lose_power(random.Random(seed))
+            identity = check(folder, kept)
+            assert check(folder, kept) == identity
+
+
+def test_files_of_others_are_no_log(tmp_path):
+    folder = tmp_path / "data"
+    (folder / "lost+found").mkdir(parents=True)
+    (folder / "peers").write_bytes(b"addresses")
+    (folder / "notes.txt").write_bytes(b"of the operator")
+    storage, recovered = open_all(folder, PowerDisk(folder))
+    assert recovered.identity.startswith("c1~")
+    assert not storage.set_aside_reason
+    fill_again = Storage(folder, "c1")
+    fill_again.open()
+    fill_again.write((1, "c1"), [entry(1)])
+    fill_again.close()
+    damage(folder / "identity")
+    storage, _ = open_all(folder, PowerDisk(folder))
+    assert storage.set_aside_reason
+    assert (folder / "lost+found").is_dir()
+    assert (folder / "notes.txt").read_bytes() == b"of the operator"
