Damage in front of the first batch of an upgraded log is never cut

Cause: a batch counted as written later only from number 2 after the damage on. A damaged record of the earlier version in front of one single batch, number 1, was taken for a torn tail, and the batch, which had been synced, was cut in silence. Not allowed by the users' disk (synced data does not change), but nothing synced is cut in silence. Ruled out: damage in batch 1 itself (nothing whole stands behind it).

Payloads of the state machine hold whole records of the log now and then, so that a torn write is told from a synced one also there.

--- a/hingepitch/control/batch.py
+++ b/hingepitch/control/batch.py
@@ -143,12 +143,14 @@
     """Raise `storage_damaged` if a batch after `offset` was written later.
 
     The damaged one would be `sequence` + 1, or the rest of a write that failed
-    and was cut. One with a higher number shows that it had been synced.
+    and was cut. One with a higher number shows that it had been synced. Where no
+    batch was read, it may be a record of an earlier version, before the first.
     """
+    expected = sequence + 1 if sequence else 0
     position = data.find(MAGIC_BYTES, offset + 1)
     while position >= 0:
         record = read_frame(data, position)
-        if record is not None and is_later(record, sequence + 1):
+        if record is not None and is_later(record, expected):
             raise HingepitchError("storage_damaged", f"damaged at byte {offset}")
         position = data.find(MAGIC_BYTES, position + 1)
 
--- a/tests/test_disk_states.py
+++ b/tests/test_disk_states.py
@@ -33,6 +33,7 @@
 
 from hingepitch.control import audit as audit_module
 from hingepitch.control.audit import MISSING, AuditRecord, AuditTrail
+from hingepitch.control.batch import Batch, encode_batch
 from hingepitch.control.message import Entry, EntryKind, Member
 from hingepitch.control.storage import Snapshot, Storage, found_folder
 from hingepitch.error import HingepitchError
@@ -321,9 +322,15 @@
         """Return an entry that is like no other."""
         self.count += 1
         begin = AUDITED if self.count % 3 else b"other"
-        payload = begin + b" %d " % self.count
+        payload = begin + b" %d " % self.count + self.nested_record()
         return Entry(index, term, EntryKind.COMMAND, payload + bytes([37]) * size)
 
+    def nested_record(self):
+        """Return now and then a record of the log, as a part of a payload."""
+        if self.count % 2 or self.storage.sequence < 2:
+            return b""
+        return b" " * 4096 + encode_batch(Batch(self.storage.sequence - 1, None, ()))
+
     @rule(count=st.integers(1, 6), how=maybe_trouble)
     def commit(self, count, how):
         """Apply some entries; their audit records are not synced."""
--- a/tests/test_earlier_forms.py
+++ b/tests/test_earlier_forms.py
@@ -146,16 +146,18 @@
 
 
 @pytest.mark.parametrize("case", ["log"])
-def test_a_hole_in_front_of_what_the_new_code_added_is_never_cut(case, folder):
+@pytest.mark.parametrize("added", [1, 2])
+def test_a_hole_in_front_of_what_the_new_code_added_is_never_cut(case, folder, added):
     path = last_segment(folder)
     old_size = len(path.read_bytes())
     storage = Storage(folder, "c1")
     storage.open()
-    storage.write(None, [entry(9, 2)])
-    storage.write(None, [entry(10, 2)])
+    for index in range(9, 9 + added):
+        storage.write(None, [entry(index, 2)])
     storage.close()
     data = bytearray(path.read_bytes())
-    for at in (old_size - 3, old_size + 20):
+    places = (old_size - 3, old_size + 20)
+    for at in places[:added]:
         damaged = bytearray(data)
         damaged[at] ^= 1
         path.write_bytes(damaged)
