Red tests: addresses, a data folder and a disk that are not free at a start

Two of the 7 are another fault: after a write that failed with anything but OSError the log went on behind the gap, which a start calls damage.

--- a/tests/test_site_ends.py
+++ b/tests/test_site_ends.py
@@ -7,10 +7,14 @@
 """
 
 import json
+import signal
+import socket
 import sys
+from contextlib import ExitStack
 
 import pytest
 
+from adapter.settings import METRICS_PORT
 from standin.cluster import http_call, wait_for
 from standin.site import Site
 
@@ -97,3 +101,65 @@
     assert site.submit(JOBS[0], 2) == 200
     finish(site, JOBS[:1])
     assert all(site.process_by_ip[ip].is_running() for ip in site.control_ips)
+
+
+def occupy(stack, *addresses):
+    """Listen at addresses until the stack is closed."""
+    for address in addresses:
+        sock = stack.enter_context(socket.socket())
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen()
+
+
+def refusals(process):
+    return process.log().count("event=address_refused")
+
+
+def test_a_control_program_goes_on_without_the_addresses_that_are_in_use(site):
+    ip, other = site.control_ips[:2]
+    process = site.process_by_ip[ip]
+    process.kill()
+    with ExitStack() as stack:
+        occupy(stack, (ip, site.port), (ip, METRICS_PORT))
+        process.start()
+        wait_for(lambda: refusals(process) == 2, what="both refusals")
+        # It votes: with two others gone, nothing is answered without it.
+        for gone in site.control_ips[3:]:
+            site.process_by_ip[gone].kill()
+        assert site.submit(JOBS[0], 2) == 200
+        finish(site, JOBS[:1])
+        assert process.is_running()
+    wait_for(lambda: site.status(ip), what="an answer at its own address")
+    assert http_call(f"{ip}:{METRICS_PORT}", "GET", "/metrics")[0] == 200
+    assert site.status(other)
+
+
+def test_an_entry_is_not_ready_before_it_has_its_address(site):
+    ip = site.entry_ips[0]
+    process = site.process_by_ip[ip]
+    process.kill()
+    ready = f"{ip}:{site.ready_port}"
+    with ExitStack() as stack:
+        occupy(stack, (ip, site.port))
+        process.start()
+        wait_for(lambda: refusals(process), what="the refusal")
+        wait_for(lambda: "event=started" in process.log(), what="the start")
+        assert http_call(ready, "GET", "/-/ready")[0] == 503
+    wait_for(lambda: http_call(ready, "GET", "/-/ready")[0] == 200, what="ready")
+    assert process.is_running()
+
+
+def test_a_program_waits_until_the_one_before_it_has_gone(site):
+    ip = site.control_ips[0]
+    before = site.process_by_ip[ip]
+    before.signal(signal.SIGSTOP)
+    after = site.process_by_ip[ip] = site.make_process(ip)
+    try:
+        after.start()
+        wait_for(lambda: "folder_locked" in after.log(), what="the folder in use")
+        assert after.is_running()
+    finally:
+        before.kill()
+    wait_for(lambda: site.status(ip), what="an answer")
+    assert after.is_running()
--- /dev/null
+++ b/tests/test_start_waits.py
@@ -0,0 +1,153 @@
+"""Starts that meet something in use, or a disk that refuses.
+
+Looked for after programs had ended at their start, at each start: an address
+that another process still has, also the one where only figures are told, raised
+OSError in `start`; a data folder whose last process has not gone yet raised
+`folder_locked`; a disk that refuses at the very first start raised OSError while
+the group was founded. Each ended the program. What passes is waited for.
+"""
+
+import errno
+import socket
+from types import SimpleNamespace
+
+import falcon
+import gevent
+import pytest
+from gevent.event import Event
+
+from hingepitch.app import Application
+from hingepitch.control.audit import AuditTrail
+from hingepitch.control.message import Member
+from hingepitch.control.replica import Replica
+from hingepitch.control.storage import Storage, found_folder
+from hingepitch.control.writer import LogWriter
+from hingepitch.error import ExitCode, HingepitchError
+from hingepitch.httpd import HttpServer, wait_until
+from hingepitch.rpc import RpcServer
+
+SECONDS = 5
+MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
+
+
+class Serving(Application):
+    """A program that serves at one address."""
+
+    program = "test"
+
+    def __init__(self, make):
+        super().__init__(SimpleNamespace(name="test"))
+        self.server = make()
+
+    def start(self):
+        self.listen("http", self.server)
+
+    def stop(self):
+        self.server.stop()
+
+
+@pytest.fixture
+def taken():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        yield sock
+
+
+def make_http(sock):
+    return HttpServer(f"127.0.0.1:{sock.getsockname()[1]}", falcon.App())
+
+
+def make_rpc(sock):
+    return RpcServer(f"127.0.0.1:{sock.getsockname()[1]}", None, "key")
+
+
+@pytest.mark.parametrize("make", [make_http, make_rpc])
+def test_an_address_that_is_in_use_is_waited_for(taken, make, monkeypatch):
+    monkeypatch.setattr("hingepitch.app.LISTEN_PAUSE_SECONDS", 0.01)
+    program = Serving(lambda: make(taken))
+    running = gevent.spawn(program.run)
+    gevent.sleep(0.05)
+    assert not running.ready()
+    assert not program.server.is_listening
+    taken.close()
+    assert wait_until(lambda: program.server.is_listening, SECONDS)
+    program.stopping.set()
+    assert running.get(timeout=SECONDS) == ExitCode.FINE
+
+
+def test_a_program_that_waits_for_an_address_can_be_stopped(taken):
+    program = Serving(lambda: make_http(taken))
+    running = gevent.spawn(program.run)
+    gevent.sleep(0.05)
+    program.stopping.set()
+    assert running.get(timeout=SECONDS) == ExitCode.FINE
+
+
+def make_replica(folder):
+    return Replica(
+        Storage(folder, "c1"),
+        AuditTrail(folder),
+        SimpleNamespace(send=lambda *_: None),
+        SimpleNamespace(take_over=lambda now: None),
+        lambda identity: identity,
+        "1",
+    )
+
+
+def test_a_data_folder_that_is_in_use_is_waited_for(tmp_path, monkeypatch):
+    monkeypatch.setattr("hingepitch.control.replica.PAUSE_AFTER_FAULT_SECONDS", 0.01)
+    found_folder(tmp_path, "c1", MEMBERS)
+    last = Storage(tmp_path, "c1")
+    last.open()
+    replica = make_replica(tmp_path)
+    opening = gevent.spawn(replica.open_when_possible, Event())
+    gevent.sleep(0.05)
+    assert not opening.ready()
+    last.close()
+    opening.get(timeout=SECONDS)
+    assert replica.core.identity == "c1"
+    replica.close()
+
+
+def test_a_disk_that_refuses_at_the_first_start_is_waited_for(tmp_path, monkeypatch):
+    replica = pytest.importorskip("adapter.replica")
+    monkeypatch.setattr(replica, "FOUND_PAUSE_SECONDS", 0.01)
+    refusals = [errno.EIO, errno.ENOSPC]
+
+    def refuse(*arguments):
+        if refusals:
+            raise OSError(refusals.pop(), "refused")
+        return found_folder(*arguments)
+
+    monkeypatch.setattr(replica, "found_folder", refuse)
+    replica.found_when_possible((tmp_path, "c1", MEMBERS), Event())
+    storage = Storage(tmp_path, "c1")
+    assert storage.open().members == MEMBERS
+    storage.close()
+
+
+@pytest.mark.parametrize("error", [RuntimeError("no thread"), OverflowError("x")])
+def test_nothing_is_written_behind_a_write_that_failed(error):
+    """A write that fails for another reason than the disk leaves a gap too."""
+
+    class Store:
+        def __init__(self):
+            self.written = []
+            self.fails = True
+
+        def write(self, vote, entries):
+            if self.fails:
+                self.fails = False
+                raise error
+            self.written += entries
+
+    store = Store()
+    writer = LogWriter(store, lambda event: None)
+    first, second = (SimpleNamespace(index=at, term=1) for at in (1, 2))
+    with pytest.raises((HingepitchError, type(error))):
+        writer.write(None, [first])
+    with pytest.raises(HingepitchError) as caught:
+        writer.write(None, [second])
+    assert caught.value.code == "storage_failed"
+    assert store.written == []
