A start waits for addresses, for its data folder and for a disk that refuses

Cause: start() and the founding raised OSError, opening raised folder_locked, and nothing caught them. The address of the figures is the same on every machine, so any other program there could keep a control program from starting. Ruled out: ending and being started again, which meets the same and takes votes and leases along. Wrong addresses are told by an event now, not by the end. An entry that did not get to the disk for any reason stops the writer, as one did that the disk refused. Coded failures of a start are events too.

--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -11,6 +11,8 @@
 import signal
 import sys
 import traceback
+from contextlib import suppress
+from functools import partial
 
 import gevent
 from gevent.event import Event
@@ -26,6 +28,9 @@
 #: Folder of the product in the names of its source files.
 PACKAGE = "hingepitch/"
 
+#: Pause before an address that is in use is tried again, in seconds.
+LISTEN_PAUSE_SECONDS = 0.2
+
 
 class Application:
     """Base of every daemon.
@@ -49,6 +54,18 @@
     def start(self):
         """Start the children under the supervisor."""
 
+    def listen(self, name, server):
+        """Have `server` listen, as soon as its address is free.
+
+        The process that had it may not have gone yet. Ended by that, a program
+        would take its other parts along: votes, leases, answers.
+        """
+        try:
+            server.start()
+        except OSError as error:
+            log_event("address_refused", server=name, error=error)
+            self.supervisor.start(f"{name} address", partial(keep_trying, server))
+
     def drain(self):
         """Take no new work and finish what is in flight."""
 
@@ -73,6 +90,7 @@
                 log_event("draining", name=self.settings.name)
                 self.drain()
         except HingepitchError as error:
+            log_event("program_failed", error=error)
             print(error, file=sys.stderr)
             self.exit_code = ExitCode.FAILED
         except Exception as error:
@@ -86,6 +104,15 @@
         return self.exit_code
 
 
+def keep_trying(server):
+    """Have `server` listen; return once it does."""
+    while not server.is_listening:
+        gevent.sleep(LISTEN_PAUSE_SECONDS)
+        with suppress(OSError):  # Logged when it was met first.
+            server.start()
+    log_event("address_taken", address=server.address)
+
+
 def place_of(error):
     """Return the file and line where `error` was raised in the product."""
     frames = traceback.extract_tb(error.__traceback__)
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -118,8 +118,8 @@
         self.supervisor.start("book", self.keep_book)
         self.supervisor.start("announcer", self.keeper.announce)
         self.supervisor.start("keeper", self.keeper.run)
-        self.rpc.start()
-        self.http.start()
+        self.listen("rpc", self.rpc)
+        self.listen("http", self.http)
 
     def keep_book(self):
         """Keep the addresses of the replicas, if they may change by themselves."""
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -148,7 +148,8 @@
     def open_when_possible(self, stopping):
         """Open the data folder as soon as it can be written.
 
-        A disk that refuses for a while is no reason to end the program.
+        A disk that refuses for a while is no reason to end the program, nor is
+        the process that had the folder last and has not gone yet.
 
         `stopping`
             Event after which nobody waits; then `storage_failed` is raised.
@@ -160,6 +161,10 @@
                 return
             except OSError as error:
                 self.note_storage_fault(error)
+            except HingepitchError as error:
+                if error.code != "folder_locked":
+                    raise
+                self.note_storage_fault(error)
             self.close()
             if stopping.wait(PAUSE_AFTER_FAULT_SECONDS):
                 raise HingepitchError("storage_failed", self.storage_fault)
--- a/hingepitch/control/writer.py
+++ b/hingepitch/control/writer.py
@@ -78,6 +78,10 @@
             except HingepitchError as error:
                 self.fault = error
                 raise
+            except Exception as error:
+                # Whatever kept it from the disk, it is missing there.
+                self.fault = HingepitchError("storage_failed", repr(error))
+                raise self.fault from error
             if ahead:
                 self.put(Durable(ahead[-1].index, ahead[-1].term))
 
--- a/hingepitch/entry/program.py
+++ b/hingepitch/entry/program.py
@@ -80,7 +80,7 @@
         """Start the children and the server."""
         self.supervisor.start("follower", self.follower.run)
         self.supervisor.start("queues", self.serve_queues)
-        self.http.start()
+        self.listen("http", self.http)
 
     def serve_queues(self):
         """Serve the queues also when nothing ends: minions may have come."""
--- a/hingepitch/httpd.py
+++ b/hingepitch/httpd.py
@@ -250,6 +250,7 @@
     """
 
     def __init__(self, address, application, connections=2000):
+        self.address = address
         self.pool = Pool(connections)
         self.server = WSGIServer(
             parse_address(address),
@@ -269,6 +270,11 @@
         sock.settimeout(IDLE_SECONDS)
         handle(sock, peer)
 
+    @property
+    def is_listening(self):
+        """Whether connections are accepted."""
+        return self.server.started
+
     def start(self):
         """Listen; raises OSError when the address is taken."""
         self.server.start()
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -27,6 +27,8 @@
     "child_failed": "ERROR",
     "child_gave_up": "CRITICAL",
     "broken_invariant": "CRITICAL",
+    "address_refused": "ERROR",
+    "address_taken": "INFO",
     "settings_refused": "ERROR",
     "role_changed": "INFO",
     "log_recovered": "INFO",
--- a/hingepitch/planner/program.py
+++ b/hingepitch/planner/program.py
@@ -75,7 +75,7 @@
     def start(self):
         """Start the children and the server."""
         self.supervisor.start("planning", self.run_passes)
-        self.http.start()
+        self.listen("http", self.http)
 
     def stop(self):
         """Stop the server."""
--- a/hingepitch/rpc.py
+++ b/hingepitch/rpc.py
@@ -129,12 +129,18 @@
     """
 
     def __init__(self, address, handler, key):
+        self.address = address
         self.handler = handler
         self.key = key
         self.server = StreamServer(
             parse_address(address), self.serve, spawn=1000, backlog=512
         )
 
+    @property
+    def is_listening(self):
+        """Whether connections are accepted."""
+        return self.server.started
+
     def start(self):
         """Listen; raises OSError when the address is taken."""
         self.server.start()
