Answers of the platform and settings that cannot be read end nothing

Cause: the planner took the platform's lists for what they should be; a refusal that is nested without end raised RecursionError in the leader's session; YAML raises ValueError and AttributeError for dates and numbers that are none. Change: each is a coded error, met where others of its kind are met.

--- a/hingepitch/jsoncall.py
+++ b/hingepitch/jsoncall.py
@@ -42,7 +42,7 @@
             headers={"Content-Type": "application/json", **(headers or {})},
         )
         return response.status_code, json.loads(response.read())
-    except (OSError, ValueError, HTTPParseError) as error:
+    except (OSError, ValueError, RecursionError, HTTPParseError) as error:
         raise HingepitchError("peer_failed", f"{address}: {error!r}") from None
     finally:
         client.close()
--- a/hingepitch/planner/platform.py
+++ b/hingepitch/planner/platform.py
@@ -47,20 +47,11 @@
         """Return the present view, keeping since when VMs are unhealthy."""
         vms = self.call("GET", "/vms")
         tasks = self.call("GET", "/tasks")
-        vm_by_name = {
-            vm["name"]: PlatformVm(vm["name"], vm["healthy"], vm["boot_id"])
-            for vm in vms
-        }
-        since = {
-            name: unhealthy_since_by_vm.get(name, now)
-            for name, vm in vm_by_name.items()
-            if not vm.healthy
-        }
-        task_by_name = {
-            task["name"]: Task(task["name"], task["vm"], TaskState(task["state"]))
-            for task in tasks
-        }
-        return PlatformView(vm_by_name, task_by_name, since)
+        try:
+            return make_view(vms, tasks, unhealthy_since_by_vm, now)
+        except (LookupError, TypeError, ValueError) as error:
+            detail = f"not a view: {error!r}"
+            raise HingepitchError("platform_failed", detail) from None
 
     def reboot(self, vm, request_id):
         """Reboot a VM."""
@@ -87,3 +78,24 @@
         """Renew the leases of tasks."""
         body = {"names": list(names), "lease_seconds": TASK_LEASE_SECONDS}
         self.call("POST", "/renew", body)
+
+
+def make_view(vms, tasks, unhealthy_since_by_vm, now):
+    """Return the `PlatformView` of the platform's lists.
+
+    Lists that are not what they should be raise LookupError, TypeError or
+    ValueError.
+    """
+    vm_by_name = {
+        vm["name"]: PlatformVm(vm["name"], vm["healthy"], vm["boot_id"]) for vm in vms
+    }
+    since = {
+        name: unhealthy_since_by_vm.get(name, now)
+        for name, vm in vm_by_name.items()
+        if not vm.healthy
+    }
+    task_by_name = {
+        task["name"]: Task(task["name"], task["vm"], TaskState(task["state"]))
+        for task in tasks
+    }
+    return PlatformView(vm_by_name, task_by_name, since)
--- a/hingepitch/setting.py
+++ b/hingepitch/setting.py
@@ -20,6 +20,7 @@
 __all__ = [
     "Address",
     "DaemonSettings",
+    "FILE_ERRORS",
     "PeerSettings",
     "Settings",
     "check_address",
@@ -29,6 +30,10 @@
     "validate_faults",
 ]
 
+#: What a YAML file raises that cannot be read: ValueError and AttributeError come
+#: from dates and numbers that are none.
+FILE_ERRORS = (OSError, yaml.YAMLError, ValueError, AttributeError, RecursionError)
+
 MIN_SHARED_KEY_CHARS = 16
 
 
@@ -119,7 +124,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             document = yaml.safe_load(file)
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+    except FILE_ERRORS as error:
         raise HingepitchError("bad_settings", f"{path}: {error}") from None
     try:
         return model.model_validate(document)
