--- /dev/null
+++ b/soak/caller.py
@@ -0,0 +1,153 @@
+"""
+soak.caller
+~~~~~~~~~~~
+
+Callers of the entries: hand jobs in, ask for them, cancel some.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import json
+import time
+from dataclasses import dataclass
+
+from soak.client import Client
+from soak.operator import QUEUE
+from standin.site import HOST
+
+__all__ = ["Caller", "Job"]
+
+CALL_SECONDS = 4.0
+
+ENDED_STATES = ("succeeded", "failed", "cancelled")
+
+#: Shares of the calls: the rest asks for jobs.
+SUBMIT_SHARE = 0.5
+CANCEL_SHARE = 0.1
+
+
+@dataclass
+class Job:
+    """A job as its caller knows it.
+
+    `widths`
+        Tasks of each step.
+    `accepted_at`, `cancelled_at`
+        When its acceptance and its cancelling were acknowledged, in seconds of
+        the steady clock, or None.
+    `state`
+        The state that was shown last.
+    """
+
+    id: str
+    widths: tuple[int, ...]
+    accepted_at: float | None = None
+    is_cancel_sent: bool = False
+    cancelled_at: float | None = None
+    state: str = ""
+
+    @property
+    def has_ended(self):
+        """Whether it was shown as ended."""
+        return self.state in ENDED_STATES
+
+
+class Caller(Client):
+    """Hands in jobs of its own and follows them.
+
+    `jobs`
+        All that were sent, in order.
+    """
+
+    def __init__(self, addresses, record, rng, pause_seconds=0.03):
+        super().__init__(addresses, record, CALL_SECONDS, pause_seconds)
+        self.rng = rng
+        self.jobs = []
+        self.unsure = None
+
+    def step(self):
+        """Make one call by chance."""
+        share = self.rng.random()
+        open_jobs = [job for job in self.accepted() if not job.has_ended]
+        if self.unsure or share < SUBMIT_SHARE or not open_jobs:
+            return self.submit()
+        if share < SUBMIT_SHARE + CANCEL_SHARE:
+            return self.cancel(self.rng.choice(open_jobs))
+        return self.ask(self.rng.choice(self.accepted()))
+
+    def accepted(self):
+        """Return the jobs whose acceptance was acknowledged."""
+        return [job for job in self.jobs if job.accepted_at is not None]
+
+    def call(self, method, job, body=None):
+        """Call an entry about a job."""
+        return self.link.call(method, QUEUE + job.id, body, {"Host": HOST})
+
+    def submit(self):
+        """Hand a job in, one without an answer again; return whether accepted."""
+        job = self.unsure
+        if job is None:
+            widths = tuple(self.rng.randrange(1, 4) for _ in range(2))
+            job = Job(f"{self.rng.getrandbits(64):016x}", widths)
+            self.jobs.append(job)
+        steps = [
+            {"count": width, "cpu": 500, "after": [at - 1] if at else []}
+            for at, width in enumerate(job.widths)
+        ]
+        body = json.dumps({"spec": "text", "steps": steps})
+        status, data = self.call("POST", job, body)
+        self.unsure = None
+        if status == 200:
+            job.accepted_at = time.monotonic()
+            return True
+        if status == 0 or status >= 500:
+            self.unsure = job
+        else:
+            self.record.check("valid jobs are not refused", False, f"{status} {data}")
+        return False
+
+    def ask(self, job):
+        """Ask for the state of an accepted job; return whether it was told."""
+        status, data = self.call("GET", job)
+        self.record.check(
+            "accepted jobs are known",
+            status in (0, 200) or status >= 500 or job.is_cancel_sent,
+            f"{job.id} was answered with {status}",
+        )
+        if status != 200:
+            return False
+        state = json.loads(data)["state"]
+        self.record.check(
+            "ended jobs stay ended",
+            not job.has_ended or state == job.state,
+            f"{job.id} was {job.state}, then {state}",
+        )
+        job.state = state
+        self.record.check(
+            "jobs do not fail or end cancelled without cause",
+            state != "failed" and (state != "cancelled" or job.is_cancel_sent),
+            f"{job.id} is {state}",
+        )
+        return True
+
+    def cancel(self, job):
+        """Cancel a job; return whether that was acknowledged."""
+        job.is_cancel_sent = True
+        is_acked = self.call("DELETE", job)[0] == 200
+        if is_acked and job.cancelled_at is None:
+            job.cancelled_at = time.monotonic()
+        return is_acked
+
+    def finish(self, seconds):
+        """Ask until every accepted job has ended; note those that have not."""
+        deadline = time.monotonic() + seconds
+        waiting = [job for job in self.accepted() if not job.has_ended]
+        while waiting and time.monotonic() < deadline:
+            for job in waiting:
+                self.ask(job)
+            waiting = [job for job in waiting if not job.has_ended]
+            time.sleep(0.05)
+        for job in self.accepted():
+            detail = f"{job.id} is {job.state or 'unknown'} after {seconds} s"
+            self.record.check("accepted jobs end", job.has_ended, detail)
--- /dev/null
+++ b/soak/judge.py
@@ -0,0 +1,74 @@
+"""
+soak.judge
+~~~~~~~~~~
+
+What the minions noted, the processes and their logs, held against the promises.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from collections import defaultdict
+
+__all__ = ["check_logs", "check_processes", "check_tasks"]
+
+#: After so many seconds a cancelled job starts nothing. Source: `cancel_ms` of
+#: the users' pages.
+CANCEL_SECONDS = 3.0
+
+
+def check_tasks(record, site, jobs):
+    """Hold the minions' notes against what the callers were told."""
+    doubled = site.doubled_tasks()
+    starts = [row for row in site.events() if row[1] == "start"]
+    for _, _, minion, task, run in starts:
+        detail = f"{task}, run {run} at {minion}"
+        record.check("no task runs twice", task not in doubled, detail)
+    job_by_id = {job.id: job for job in jobs}
+    for at, _, minion, task, _ in starts:
+        job = job_by_id.get(task.partition(".")[0])
+        if not record.check("only jobs of callers run", job is not None, task):
+            continue
+        if job.cancelled_at is not None:
+            late = at - job.cancelled_at
+            record.check(
+                "no start after a cancel",
+                late < CANCEL_SECONDS,
+                f"{task} at {minion}, {late:.3f} s after the acknowledgement",
+            )
+    check_successes(record, site, jobs)
+
+
+def check_successes(record, site, jobs):
+    """Check that each job shown as succeeded has all its tasks done."""
+    done_by_job = defaultdict(set)
+    for _, what, _, task, _ in site.events():
+        if what == "done":
+            done_by_job[task.partition(".")[0]].add(task)
+    for job in jobs:
+        if job.state == "succeeded":
+            count = len(done_by_job[job.id])
+            detail = f"{job.id}: {count} tasks of {sum(job.widths)}"
+            is_whole = count == sum(job.widths)
+            record.check("a succeeded job has all its tasks done", is_whole, detail)
+
+
+def check_processes(record, site):
+    """Check that no process ended by itself."""
+    site.note_ended()
+    seen, site.ended = site.ended, []
+    for ip, code in seen:
+        tail = site.process_by_ip[ip].log()[-600:]
+        detail = f"{ip} with exit code {code}: {tail}"
+        record.check("no process ends by itself", False, detail)
+    record.check("no process ends by itself", site.fleet.is_running(), "the fleet")
+
+
+def check_logs(record, site):
+    """Check that no replica found damage in what it had synced."""
+    for ip in site.control_ips:
+        log = site.process_by_ip[ip].log()
+        is_whole = "event=log_set_aside" not in log
+        record.check("what was synced is whole", is_whole, f"{ip} set its log aside")
+        has_failed = "event=child_failed" in log or "event=program_failed" in log
+        record.check("nothing inside a control fails", not has_failed, ip)
--- /dev/null
+++ b/soak/operator.py
@@ -0,0 +1,91 @@
+"""
+soak.operator
+~~~~~~~~~~~~~
+
+The operator: changes the configuration in storms, and reads it back.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import json
+import threading
+
+from soak.client import Client
+from standin.site import config_body
+
+__all__ = ["ConfigReader", "ConfigWriter"]
+
+CALL_SECONDS = 2.0
+CONFIG_PATH = "/-/config"
+
+#: The queue that every configuration has.
+QUEUE = "/q/"
+
+#: Routes of a large configuration, at most: tens of kilobytes.
+MAX_ROUTES = 300
+
+#: One change in so many is a large one.
+LARGE_EVERY = 7
+
+
+class ConfigWriter(Client):
+    """Sends one newer configuration after another.
+
+    `sent`, `acked`
+        The newest versions that were sent and acknowledged.
+    """
+
+    def __init__(self, addresses, record, rng, pause_seconds=0.0):
+        super().__init__(addresses, record, CALL_SECONDS, pause_seconds)
+        self.rng = rng
+        self.sent = 0
+        self.acked = 0
+        self.ack_count = 0
+        self.sending = threading.Lock()
+
+    def step(self):
+        """Send the next version; it has no second try under its number."""
+        with self.sending:
+            self.sent += 1
+            body = config_body(self.sent, self.queues())
+            status, data = self.link.call("PUT", CONFIG_PATH, body)
+            if status == 200:
+                self.acked = self.sent
+                self.ack_count += 1
+            is_fair = status in (0, 200) or status >= 500
+            detail = f"{self.sent} was answered with {status}: {data[:200]}"
+            self.record.check("valid configurations are not refused", is_fair, detail)
+        return status == 200
+
+    def queues(self):
+        """Return the path prefixes of the next version: a few, or very many."""
+        count = 1
+        if self.sent % LARGE_EVERY == 0:
+            count = min(MAX_ROUTES, 20 + self.sent) - self.rng.randrange(20)
+        return [QUEUE, *(f"/queue-{at:04}/{self.sent:08}/" for at in range(1, count))]
+
+
+class ConfigReader(Client):
+    """Reads the configuration in force again and again."""
+
+    def __init__(self, addresses, record, writer, pause_seconds=0.05):
+        super().__init__(addresses, record, CALL_SECONDS, pause_seconds)
+        self.writer = writer
+
+    def step(self):
+        """Read the configuration; return whether it was answered."""
+        acked = self.writer.acked
+        status, data = self.link.call("GET", CONFIG_PATH)
+        if status != 200:
+            self.record.check(
+                "configuration is known", status != 404, f"{status}: {data[:200]}"
+            )
+            return False
+        version = json.loads(data)["version"]
+        self.record.check(
+            "acknowledged configuration is not lost nor shown older",
+            acked <= version <= self.writer.sent,
+            f"{acked} was acknowledged, {self.writer.sent} sent, {version} shown",
+        )
+        return True
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,137 @@
+"""
+soak.run
+~~~~~~~~
+
+One run: a site, its clients, its faults, and the promises held against it.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import random
+import time
+
+from soak.caller import Caller
+from soak.fault import Faults
+from soak.judge import check_logs, check_processes, check_tasks
+from soak.operator import ConfigReader, ConfigWriter
+from soak.record import Record
+from standin.cluster import wait_for
+from standin.site import Site
+
+__all__ = ["Run"]
+
+#: After the last fault: until calls are served again, in seconds. Source:
+#: `recovery_s` of the users' pages.
+RECOVERY_SECONDS = 12.0
+
+#: Until all voters are back and all jobs have ended, in seconds. Source: a
+#: replica without its disk is replaced one at a time.
+COMPLETE_SECONDS = 40.0
+
+CALLERS = 2
+
+
+class Run:
+    """One run of a soak.
+
+    `seed`
+        Of the faults, the clients and of what a loss of power leaves.
+    `fault_seconds`
+        How long faults begin.
+    """
+
+    def __init__(self, seed, fault_seconds):
+        self.seed = seed
+        self.fault_seconds = fault_seconds
+        self.record = Record()
+        self.site = Site(is_journaled=True)
+        self.writer = ConfigWriter(self.controls(), self.record, self.rng("writer"))
+        self.reader = ConfigReader(self.controls(), self.record, self.writer)
+        self.callers = [
+            Caller(self.entries(at), self.record, self.rng(f"caller {at}"))
+            for at in range(CALLERS)
+        ]
+        self.faults = Faults(self.site, self.record, self.rng("faults"), self.writer)
+
+    def rng(self, name):
+        """Return the generator of one part of this run."""
+        return random.Random(f"{self.seed}/{name}")
+
+    def controls(self):
+        """Return where the controls take calls."""
+        return [f"{ip}:{self.site.port}" for ip in self.site.control_ips]
+
+    def entries(self, first):
+        """Return where the entries take calls, beginning with one of them."""
+        ips = self.site.entry_ips[first:] + self.site.entry_ips[:first]
+        return [f"{ip}:{self.site.port}" for ip in ips]
+
+    @property
+    def clients(self):
+        """All clients."""
+        return [self.writer, self.reader, *self.callers]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for client in self.clients:
+            client.stopping.set()
+        self.site.close()
+        for client in self.clients:
+            client.stop()
+
+    def play(self):
+        """Play the run; return whether every promise was kept."""
+        self.site.start()
+        wait_for(self.writer.step, what="the first configuration")
+        for client in self.clients:
+            client.start()
+        self.faults.run(self.fault_seconds)
+        self.check_recovery()
+        for client in self.clients:
+            client.stop()
+        self.check_end()
+        return not self.record.breaches
+
+    def check_recovery(self):
+        """Check that calls are served again, and the group made whole."""
+        began = time.monotonic()
+        probe = Caller(self.entries(0), self.record, self.rng("probe"))
+        self.callers.append(probe)
+        for what, step in (
+            ("configuration", self.writer.step),
+            ("read", self.reader.step),
+            ("job", probe.submit),
+        ):
+            is_served = holds_within(step, began + RECOVERY_SECONDS)
+            seconds = time.monotonic() - began
+            self.record.note(f"{what} served again after {seconds:.3f} s: {is_served}")
+            detail = f"no {what} in {RECOVERY_SECONDS} s"
+            self.record.check("served again after the last fault", is_served, detail)
+        lost = self.faults.lost
+        is_whole = holds_within(
+            lambda: self.site.whole_group(lost), began + COMPLETE_SECONDS
+        )
+        self.record.note(f"whole after {time.monotonic() - began:.3f} s: {is_whole}")
+        detail = f"voters: {self.site.voters()}"
+        self.record.check("lost replicas are replaced", is_whole, detail)
+
+    def check_end(self):
+        """Check what holds at the end of a run."""
+        for caller in self.callers:
+            caller.finish(COMPLETE_SECONDS)
+        jobs = [job for caller in self.callers for job in caller.jobs]
+        check_tasks(self.record, self.site, jobs)
+        check_processes(self.record, self.site)
+        check_logs(self.record, self.site)
+
+
+def holds_within(condition, deadline):
+    """Return whether a condition comes true before a time of the steady clock."""
+    while not condition():
+        if time.monotonic() > deadline:
+            return False
+        time.sleep(0.05)
+    return True
--- a/standin/journaled.py
+++ b/standin/journaled.py
@@ -11,13 +11,18 @@
 :license: BSD, see LICENSE for details.
 """
 
+import signal
+import sys
+from pathlib import Path
+
+# As the program itself does: a signal must not end it while it loads.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+
 from hingepitch.patch import patch_program
 
 patch_program()
 
-import sys
-from pathlib import Path
-
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
 from adapter.program import main
--- a/standin/powerdisk.py
+++ b/standin/powerdisk.py
@@ -33,7 +33,8 @@
     `path`
         Path of the file or folder.
     `offset`
-        Of a write: where it begins; of a truncation: the new size.
+        Of a write: where it begins; of a truncation: the new size; of a
+        creation: the size that was found, or -1 if there was no file.
     `data`
         Of a write.
     `other`
@@ -57,25 +58,52 @@
         The writes and truncations since.
     """
 
-    durable: bytes = b""
+    durable: bytearray = field(default_factory=bytearray)
     pending: list[Call] = field(default_factory=list)
 
-    def now(self):
-        """Return what the running system reads."""
-        return change(self.durable, self.pending)
+    def sync(self):
+        """Make all that was written durable."""
+        change(self.durable, self.pending)
+        self.pending.clear()
+
+    def size(self):
+        """Return the size that the running system sees, in bytes."""
+        size = len(self.durable)
+        for call in self.pending:
+            if call.name == "truncate":
+                size = call.offset
+            else:
+                size = max(size, call.offset + len(call.data))
+        return size
+
+    def after_loss(self, rng):
+        """Return what is left if each change is kept, taken or torn by chance."""
+        data = self.durable.copy()
+        change(data, left_of(self.pending, rng))
+        return bytes(data)
+
+    def forget_beyond(self, size):
+        """Drop what was noted and not done: a kill came in between.
+
+        `size`
+            What the system found afterwards, in bytes.
+        """
+        while self.pending and self.size() > size:
+            last = self.pending.pop()
+            if last.name == "write" and last.offset < size:
+                data = last.data[: size - last.offset]
+                self.pending.append(Call("write", last.path, last.offset, data))
 
 
 def change(data, calls):
-    """Return `data` after writes and truncations."""
-    data = bytearray(data)
+    """Carry writes and truncations out on the bytearray `data`."""
     for call in calls:
-        if call.name == "truncate":
-            data = data[: call.offset] + bytes(max(0, call.offset - len(data)))
-            continue
         end = call.offset + len(call.data)
         data += bytes(max(0, end - len(data)))
-        data[call.offset : end] = call.data
-    return bytes(data)
+        if call.name == "truncate":
+            del data[end:]
+        else:
+            data[call.offset : end] = call.data
 
 
 class PowerModel:
@@ -92,7 +120,8 @@
 
     def __init__(self, data_by_path=None):
         self.content_by_path = {
-            path: Content(data) for path, data in (data_by_path or {}).items()
+            path: Content(bytearray(data))
+            for path, data in (data_by_path or {}).items()
         }
         self.durable_by_path = dict(self.content_by_path)
         self.pending_names = []
@@ -102,8 +131,9 @@
         getattr(self, f"take_{call.name}")(call)
 
     def take_create(self, call):
-        """A file was made, unless it was there."""
+        """A file was opened, and made unless it was there."""
         if call.path in self.content_by_path:
+            self.content_by_path[call.path].forget_beyond(call.offset)
             return
         content = self.content_by_path[call.path] = Content()
         self.pending_names.append((call, content))
@@ -117,8 +147,7 @@
     def take_sync(self, call):
         """A file is durable, and its name, if it is new."""
         content = self.content_by_path[call.path]
-        content.durable = content.now()
-        content.pending.clear()
+        content.sync()
         for one in list(self.pending_names):
             if one[0].name == "create" and one[1] is content:
                 self.pending_names.remove(one)
@@ -168,9 +197,7 @@
             if not takes_all and rng.random() < 0.5:
                 self.keep_name(names, call, content)
         return {
-            path: content.durable
-            if takes_all
-            else change(content.durable, left_of(content.pending, rng))
+            path: bytes(content.durable) if takes_all else content.after_loss(rng)
             for path, content in names.items()
         }
 
@@ -207,7 +234,8 @@
 
     def __init__(self, path, note):
         self.note = note
-        note(Call("create", str(path)))
+        size = os.stat(path).st_size if os.path.exists(path) else -1
+        note(Call("create", str(path), size))
         super().__init__(path)
 
     def write(self, data):
@@ -321,6 +349,8 @@
     at = 0
     while at + 4 <= len(data):
         end = at + 4 + int.from_bytes(data[at : at + 4], "big")
+        if end > len(data):
+            return  # Its process was killed in the midst: the call was not made.
         yield msgspec.msgpack.decode(data[at + 4 : end], type=Call)
         at = end
 
@@ -335,6 +365,7 @@
 
 def write_folder(folder, data_by_path):
     """Make a folder hold just these files."""
+    Path(folder).mkdir(parents=True, exist_ok=True)
     for path in Path(folder).iterdir():
         if path.is_file():
             path.unlink()
@@ -358,6 +389,5 @@
         model.take(call)
     left = model.lose(rng)
     write_folder(folder, left)
-    base.mkdir(exist_ok=True)
     write_folder(base, {str(base / Path(path).name): left[path] for path in left})
     Path(journal).unlink(missing_ok=True)
--- a/standin/site.py
+++ b/standin/site.py
@@ -12,15 +12,17 @@
 import json
 import os
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
 
 import yaml
 
+from standin import powerdisk
 from standin.cluster import Process, free_ports, http_call, wait_for
 
-__all__ = ["FAILING_PREFIX", "HOST", "Site"]
+__all__ = ["FAILING_PREFIX", "HOST", "Site", "config_body"]
 
 HOST = "queue.example"
 
@@ -29,14 +31,50 @@
 POOL = "pool"
 
 
+def config_body(version, queues=("/q/",)):
+    """Return the JSON of a configuration; `queues` are path prefixes."""
+    route = {"host": HOST, "timeout_ms": 3000, "service": POOL, "attempts": 3}
+    body = {
+        "version": version,
+        "routes": [
+            {**route, "name": f"r{at}", "path_prefix": prefix}
+            for at, prefix in enumerate(queues)
+        ],
+        "services": [{"name": POOL, "admission_check": True}],
+        "limits": {},
+    }
+    return json.dumps(body)
+
+
 class Site:
     """Control replicas, entries and one process of stand-in minions.
 
     `controls`, `entries`, `minions`
         How many of each; the first three controls are the seeds.
+    `task_seconds`
+        How long each task runs.
+    `is_journaled`
+        Whether the disks of the controls can lose power; costs each call of
+        theirs a second write. Default: False.
+    `down`, `stopping`
+        Addresses of the processes that were killed here, or asked to stop, and
+        not started again.
+    `ended`
+        Address and exit code of each process that ended by itself.
     """
 
-    def __init__(self, controls=5, entries=2, minions=4, task_seconds=0.2):
+    def __init__(
+        self,
+        controls=5,
+        entries=2,
+        minions=4,
+        task_seconds=0.2,
+        is_journaled=False,
+    ):
+        self.is_journaled = is_journaled
+        self.down = set()
+        self.stopping = set()
+        self.ended = []
         self.folder = Path(tempfile.mkdtemp(prefix="hingepitch-site-"))
         self.port, self.rpc_port, self.ready_port = free_ports(3)
         self.control_ips = [self.ip(1, number) for number in range(controls)]
@@ -48,8 +86,10 @@
         self.fleet = self.make_fleet(minions, task_seconds)
 
     def ip(self, network, number):
-        """Return the loopback address of a process."""
-        return f"127.{os.getpid() % 200 + 10}.{network}.{number + 1}"
+        """Return the loopback address of a process: another one for each site."""
+        block = os.getpid() % 200 + 10
+        network += os.getpid() // 200 % 80 * 3
+        return f"127.{block}.{network}.{number + 1}"
 
     def __enter__(self):
         return self
@@ -59,9 +99,9 @@
 
     def close(self):
         """End everything that was started, and remove the files."""
-        for process in [*self.process_by_ip.values(), self.fleet]:
-            if process.is_running():
-                process.kill()
+        self.kill(*self.process_by_ip)
+        if self.fleet.is_running():
+            self.fleet.kill()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     # Files.
@@ -94,6 +134,8 @@
         """Return the process at an address."""
         role = "control" if ip in self.control_ips else "entry"
         command = [sys.executable, "platform/main.py", role]
+        if self.is_journaled and role == "control":
+            command = [sys.executable, "-m", "standin.journaled", str(self.journal(ip))]
         env = {"HINGEPITCH_SETTINGS": str(self.folder / f"{ip}.yaml")}
         return Process(ip, command, self.folder, env)
 
@@ -124,15 +166,63 @@
 
     def restart(self, ip):
         """Start the process at an address again."""
-        process = self.process_by_ip[ip]
-        if process.is_running():
-            process.kill()
-        process.start()
-
-    def lose_disk(self, ip):
-        """Kill a control replica and remove its data folder."""
-        self.process_by_ip[ip].kill()
-        shutil.rmtree(self.folder / ip)
+        self.kill(ip)
+        self.process_by_ip[ip].start()
+        self.down.discard(ip)
+        self.stopping.discard(ip)
+
+    def kill(self, *ips):
+        """Kill processes at one moment, without warning."""
+        self.note_ended()
+        running = [self.process_by_ip[ip] for ip in ips if self.is_running(ip)]
+        for process in running:
+            process.signal(signal.SIGKILL)
+        for process in running:
+            process.popen.wait()
+        self.down.update(ips)
+
+    def ask_to_stop(self, ip):
+        """Ask a process to stop; `note_ended` looks at its exit code."""
+        self.note_ended()
+        self.stopping.add(ip)
+        self.process_by_ip[ip].signal(signal.SIGTERM)
+
+    def is_running(self, ip):
+        """Whether the process at an address runs."""
+        return self.process_by_ip[ip].is_running()
+
+    def note_ended(self):
+        """Note the processes that ended and that nobody here ended."""
+        for ip, process in self.process_by_ip.items():
+            if process.popen is None or ip in self.down or process.is_running():
+                continue
+            self.down.add(ip)
+            code = process.popen.returncode
+            # Asked in its first milliseconds, it has no handler yet.
+            if ip not in self.stopping or code not in (0, -signal.SIGTERM):
+                self.ended.append((ip, code))
+
+    def lose_disk(self, *ips):
+        """Kill control replicas and remove their data folders."""
+        self.kill(*ips)
+        for ip in ips:
+            shutil.rmtree(self.folder / ip, ignore_errors=True)
+            shutil.rmtree(self.base(ip), ignore_errors=True)
+            self.journal(ip).unlink(missing_ok=True)
+
+    def lose_power(self, rng, *ips):
+        """Kill control replicas; leave on their disks what chance leaves."""
+        self.kill(*ips)
+        for ip in ips:
+            powerdisk.lose_power(self.folder / ip, self.journal(ip), self.base(ip), rng)
+
+    def journal(self, ip):
+        """Return the path where the calls to a control replica's disk are noted."""
+        return self.folder / f"{ip}.journal"
+
+    def base(self, ip):
+        """Return the folder of what the last loss of power left on a disk."""
+        return self.folder / f"{ip}.base"
 
     # What is seen from outside.
 
@@ -162,19 +252,29 @@
             return []
         return [one["identity"] for one in status["members"] if one["voter"]]
 
+    def whole_group(self, lost=()):
+        """Return the identities of the voters by their addresses, if all are there.
+
+        None while one is missing, or being replaced.
+
+        `lost`
+            Identities that have to be replaced.
+        """
+        leader = self.leader()
+        status = leader and self.status(leader)
+        members = status["members"] if status else []
+        good = [one for one in members if one["voter"] and one["identity"] not in lost]
+        if not len(good) == len(members) == len(self.control_ips):
+            return None
+        identity_by_ip = {
+            one["address"].rpartition(":")[0]: one["identity"] for one in members
+        }
+        return identity_by_ip if len(identity_by_ip) == len(members) else None
+
     def put_config(self, version, queues=("/q/",)):
         """Send a configuration to any control replica; return the status."""
-        route = {"host": HOST, "timeout_ms": 3000, "service": POOL, "attempts": 3}
-        body = {
-            "version": version,
-            "routes": [
-                {**route, "name": f"r{at}", "path_prefix": prefix}
-                for at, prefix in enumerate(queues)
-            ],
-            "services": [{"name": POOL, "admission_check": True}],
-            "limits": {},
-        }
-        return self.on_any_control("PUT", "/-/config", json.dumps(body))[0]
+        body = config_body(version, queues)
+        return self.on_any_control("PUT", "/-/config", body)[0]
 
     def on_any_control(self, method, path, body=None):
         """Call control replicas in turn until one answers below 500."""
