--- a/standin/faults.py
+++ b/standin/faults.py
@@ -553,6 +553,42 @@
         ),
         "lost_its_disk_does_not_hide_the_leader",
     ),
+    Fault(
+        "config",
+        "an entry that cannot be read is passed over",
+        (
+            (
+                "control/replica.py",
+                'self.note_unread(f"entry {entry.index}", error)',
+                "self.applied_index = entry.index",
+            ),
+        ),
+        "cannot_read_an_entry_keeps_it_votes",
+    ),
+    Fault(
+        "config",
+        "a replica that cannot read an entry stands for elections",
+        (
+            (
+                "control/consensus.py",
+                "        if not self.may_lead:\n",
+                "        if False:\n",
+            ),
+        ),
+        "cannot_read_an_entry_keeps_it_votes",
+    ),
+    Fault(
+        "config",
+        "a child that fails often ends its process",
+        (
+            (
+                "supervisor.py",
+                "child.failures == self.max_failures",
+                "child.failures >= 8",
+            ),
+        ),
+        "fails_again_and_again_ends_no_process",
+    ),
 )
 
 
