A life that names another VM leaves the first one

Cause: put_minion noted the life at its new VM and left it at the one before; its end took it from the last one only. Change: a life has one VM.

--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -351,6 +351,9 @@
         if known is not None and known.is_draining:
             # Final for a life: a message that says otherwise was held back.
             minion = replace(minion, is_draining=True)
+        if known is not None and self.life_by_vm.get(known.vm) == known.id:
+            # It may name another VM now, and is not found there once it ends.
+            del self.life_by_vm[known.vm]
         before = self.life_by_vm.get(minion.vm)
         if before is not None and before != minion.id:
             self.remove_minion(before, at_ms)
