A fault soak, thin: real processes, series of faults by seed, promises from outside

Cause: nothing brought about signals, losses of power and lost disks in series that overlap on real processes. Ruled out: faults within the programs: all come from outside. Change: python -m soak; the clients' connections move to standin/client.py; tests/test_soak.py.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,8 @@
 ~~~~~~~~~~~~~
 
 Command line of the soak; exit code 1 if a promise broke, 2 for bad input.
+`--seconds` is how long faults begin in a run, `--keep` where the logs of a seed
+that broke go.
 
 :copyright: Copyright 2026 by the hingepitch maintainers.
 :license: BSD, see LICENSE for details.
@@ -24,7 +26,7 @@
 BROKEN = 1
 BAD_INPUT = 2
 FAULT_SECONDS = 20.0
-SEED_RANGE = re.compile(r"(\d+)\.\.(\d+)\Z")
+SEEDS = re.compile(r"(\d+)(?:\.\.(\d+))?\Z")
 
 
 class Parser(argparse.ArgumentParser):
@@ -36,12 +38,12 @@
         sys.exit(BAD_INPUT)
 
 
-def parse_range(text):
-    """Return the seeds `A..B`, both included."""
-    match = SEED_RANGE.match(text)
+def parse_seeds(text):
+    """Return the seeds `N`, or `A..B` with both ends."""
+    match = SEEDS.match(text)
     if match is None:
-        raise argparse.ArgumentTypeError(f"not a range A..B: {text}")
-    first, last = map(int, match.groups())
+        raise argparse.ArgumentTypeError(f"neither N nor A..B: {text}")
+    first, last = int(match[1]), int(match[2] or match[1])
     if first > last:
         raise argparse.ArgumentTypeError(f"no seeds in {text}")
     return range(first, last + 1)
@@ -58,24 +60,25 @@
     return value
 
 
-def parse_seed(text):
-    """Return one seed, as a range."""
-    return parse_range(f"{text}..{text}")
+def parse_folder(text):
+    """Return a folder, made if it does not exist."""
+    folder = Path(text)
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        raise argparse.ArgumentTypeError(str(error)) from None
+    return folder
 
 
 def parse_arguments(arguments):
     """Return the arguments; end the program if they are wrong."""
     parser = Parser(prog="python -m soak", description=__doc__.splitlines()[4])
     which = parser.add_mutually_exclusive_group(required=True)
-    which.add_argument("--seed", type=parse_seed, dest="seeds", metavar="N")
-    which.add_argument("--seeds", type=parse_range, metavar="A..B")
+    which.add_argument("--seed", type=parse_seeds, dest="seeds", metavar="N")
+    which.add_argument("--seeds", type=parse_seeds, metavar="A..B")
     which.add_argument("--minutes", type=parse_duration, metavar="M")
-    parser.add_argument(
-        "--seconds", type=parse_duration, default=FAULT_SECONDS, help="of faults a run"
-    )
-    parser.add_argument(
-        "--keep", type=Path, metavar="FOLDER", help="for the logs of what broke"
-    )
+    parser.add_argument("--seconds", type=parse_duration, default=FAULT_SECONDS)
+    parser.add_argument("--keep", type=parse_folder, metavar="FOLDER")
     return parser.parse_args(arguments)
 
 
@@ -91,7 +94,8 @@
             print(line)
         sys.stdout.flush()
         if not is_kept and options.keep:
-            shutil.copytree(run.site.folder, options.keep / f"seed-{seed}")
+            kept = options.keep / f"seed-{seed}"
+            shutil.copytree(run.site.folder, kept, dirs_exist_ok=True)
     return is_kept
 
 
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -12,8 +12,8 @@
 import time
 from dataclasses import dataclass
 
-from soak.client import Client
 from soak.operator import QUEUE
+from standin.client import Client
 from standin.site import HOST
 
 __all__ = ["Caller", "Job"]
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -11,7 +11,7 @@
 import json
 import threading
 
-from soak.client import Client
+from standin.client import Client
 from standin.site import config_body
 
 __all__ = ["ConfigReader", "ConfigWriter"]
--- a/soak/record.py
+++ b/soak/record.py
@@ -12,7 +12,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass
-from datetime import UTC, datetime, timedelta
+from datetime import UTC, datetime
 
 __all__ = ["Breach", "Record", "lines_around"]
 
@@ -85,8 +85,7 @@
 
 def lines_around(logs, at):
     """Yield the lines of all logs around a time of day, and their last tracebacks."""
-    around = timedelta(seconds=AROUND_SECONDS).total_seconds()
-    first, last = log_time(at - around), log_time(at + around)
+    first, last = log_time(at - AROUND_SECONDS), log_time(at + AROUND_SECONDS)
     found = []
     for path in sorted(logs.glob("*.log")):
         for line in path.read_text(errors="replace").splitlines():
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,64 @@
+"""The soak: a short seeded run keeps every promise, and bad input is told."""
+
+import subprocess
+import sys
+
+import pytest
+
+from soak.__main__ import BAD_INPUT, BROKEN, main
+from soak.record import Record
+
+RUN = [sys.executable, "-m", "soak"]
+
+
+def test_a_short_run_keeps_every_promise_and_tells_what_it_did():
+    done = subprocess.run(
+        [*RUN, "--seed", "3", "--seconds", "6"], capture_output=True, text=True
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "seed 3: kept" in done.stdout
+    for words in ("kill", "power lost at", "acknowledged configuration is not lost"):
+        assert words in done.stdout
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        [],
+        ["--seed", "one"],
+        ["--seed", "-1"],
+        ["--seeds", "5..2"],
+        ["--seeds", "1-5"],
+        ["--minutes", "0"],
+        ["--minutes", "nan"],
+        ["--seed", "1", "--seconds", "-3"],
+        ["--seed", "1", "--minutes", "1"],
+        ["--seed", "1", "--keep", "/dev/null/logs"],
+    ],
+)
+def test_bad_input_is_told_in_one_line(arguments, capsys):
+    with pytest.raises(SystemExit) as ended:
+        main(arguments)
+    assert ended.value.code == BAD_INPUT
+    told = capsys.readouterr()
+    assert told.out == ""
+    assert told.err.startswith("soak: ")
+    assert told.err.count("\n") == 1
+
+
+def test_a_broken_promise_is_told_with_the_log_lines_around_it(tmp_path):
+    record = Record()
+    record.check("kept", True)
+    record.check("broken", False, "the detail")
+    (tmp_path / "c1.log").write_text("Traceback\nValueError: torn\nquiet\n")
+    told = "\n".join(record.lines(tmp_path))
+    assert "kept: 1 checks, 0 broken" in told
+    assert "BROKEN broken: the detail" in told
+    assert "c1 ValueError: torn" in told
+    assert "quiet" not in told
+
+
+def test_a_broken_run_has_its_exit_code(monkeypatch):
+    monkeypatch.setattr("soak.__main__.play", lambda seed, _: seed != 2)
+    assert main(["--seeds", "1..3"]) == BROKEN
+    assert main(["--seeds", "3..4"]) == 0
