--- /dev/null
+++ b/tests/test_review_findings.py
@@ -0,0 +1,167 @@
+"""What a review of the data folder found beyond the incident itself.
+
+Seen: a program ended at its start because the disk refused one call while it
+founded its group, and came back outside of that group; a book of addresses that
+two greenlets saved at once was lost; bytes of great depth that no decoder
+follows ended a start. And two guards could be taken out unnoticed: the sync of
+what a start has read, and that of the folder between an identity and its log.
+"""
+
+import random
+import time
+from contextlib import suppress
+from types import SimpleNamespace
+
+import gevent
+import pytest
+from gevent.event import Event
+
+from adapter.replica import PlatformControl
+from hingepitch.control.audit import decode_line
+from hingepitch.control.message import Entry, EntryKind, Member
+from hingepitch.control.storage import Storage, decode_snapshot, found_folder
+from hingepitch.disk import Disk, DiskFile
+from hingepitch.error import HingepitchError
+from hingepitch.jobs.question import MemberRow
+from hingepitch.peerbook import PeerBook
+from standin.powerdisk import PowerDisk, Refusal, read_folder
+
+MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
+
+#: Nesting that no decoder follows to its end.
+DEPTH = 100_000
+
+
+class SlowFile(DiskFile):
+    """A file whose writes take a while in the thread pool."""
+
+    def write(self, data):
+        time.sleep(0.05)
+        return super().write(data)
+
+
+class SlowDisk(Disk):
+    """A disk of slow files."""
+
+    def open(self, path):
+        return SlowFile(path)
+
+
+def test_two_saves_of_the_book_at_once_leave_one_that_can_be_read(tmp_path):
+    """The announcer and the keeper of the book both learn rows."""
+    book = PeerBook([], tmp_path, SlowDisk())
+    first = [MemberRow("c1", "127.0.0.1:1", True)]
+    second = [MemberRow("c2", "127.0.0.1:2", True)]
+    gevent.joinall(
+        [gevent.spawn(book.learn, first), gevent.spawn(book.learn, second)],
+        raise_error=True,
+    )
+    again = PeerBook([], tmp_path)
+    again.load()
+    assert again.rows == book.rows
+
+
+@pytest.mark.parametrize("after", range(11))
+def test_a_founding_that_the_disk_refuses_once_does_not_end_the_program(
+    tmp_path, after
+):
+    """The platform founds outside of the loop that waits for the disk.
+
+    The program ends with the error. Its next start is not the first one, does
+    not found, and takes a new identity that no group knows.
+    """
+    folder = tmp_path / "data"
+    folder.mkdir()
+    disk = PowerDisk(folder)
+    disk.refuse(Refusal(after=after))
+    control = object.__new__(PlatformControl)
+    control.settings = SimpleNamespace(
+        name="c1",
+        rpc_address=MEMBERS[0].address,
+        data_folder=folder,
+        peers=[SimpleNamespace(name="c1", address=MEMBERS[0].address, hall="h1")],
+    )
+    control.platform = SimpleNamespace(seed_rpc_addresses=[MEMBERS[0].address])
+    control.disk_class = lambda: disk
+    control.stopping = Event()
+    control.found_if_seed()
+    storage = Storage(folder, "c1", disk)
+    recovered = storage.open()
+    storage.close()
+    assert recovered.identity == "c1"
+    assert recovered.members == MEMBERS
+
+
+def end(storage):
+    """Close the files as a kill does."""
+    for file in (storage.segment, storage.lock_file):
+        if file is not None:
+            file.close()
+    storage.segment = storage.lock_file = None
+
+
+def entry(index):
+    return Entry(index, 1, EntryKind.COMMAND, b"payload %d" % index)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_what_a_start_has_read_outlives_the_next_loss_of_power(tmp_path, seed):
+    """A replica answers for what it read, without writing it again."""
+    disk = PowerDisk(tmp_path)
+    found_folder(tmp_path, "c1", MEMBERS, disk)
+    storage = Storage(tmp_path, "c1", disk)
+    storage.open()
+    storage.write((1, "c1"), [entry(1)])
+    disk.refuse(Refusal(names=("sync", "truncate"), count=2))
+    with pytest.raises(HingepitchError):
+        storage.write(None, [entry(2)])
+    end(storage)
+    disk.refuse(None)
+    storage = Storage(tmp_path, "c1", disk)
+    read = storage.open().entries
+    assert read == [entry(1), entry(2)]
+    end(storage)
+    disk.lose_power(random.Random(seed))
+    storage = Storage(tmp_path, "c1", disk)
+    assert storage.open().entries == read
+    end(storage)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_an_identity_whose_log_was_set_aside_never_comes_back(tmp_path, seed):
+    """It would vote a second time, in terms in which it has voted."""
+    rng = random.Random(seed)
+    disk = PowerDisk(tmp_path)
+    found_folder(tmp_path, "c1", MEMBERS, disk)
+    storage = Storage(tmp_path, "c1", disk)
+    storage.open()
+    storage.write((5, "c1"), [entry(1)])
+    for index in range(2, 5):
+        storage.write(None, [entry(index)])
+    end(storage)
+    path = next(tmp_path.glob("segment-*"))
+    damaged = bytearray(path.read_bytes())
+    damaged[30] ^= 1
+    path.write_bytes(damaged)
+    disk.restore(read_folder(tmp_path))
+    for _ in range(3):
+        disk.lose_power_after(rng.randrange(14))
+        storage = Storage(tmp_path, "c1", disk)
+        with suppress(OSError):
+            storage.open()
+        end(storage)
+        disk.lose_power(rng)
+    storage = Storage(tmp_path, "c1", disk)
+    assert storage.open().identity != "c1"
+    end(storage)
+
+
+def test_a_line_of_any_depth_keeps_no_replica_from_starting():
+    line = b'{"index":1,"none":' + b"[" * DEPTH + b"\n"
+    assert decode_line(line) is None
+
+
+def test_a_snapshot_of_any_depth_is_damage():
+    with pytest.raises(HingepitchError) as caught:
+        decode_snapshot(b"\x81\xa4none" + b"\x91" * DEPTH)
+    assert caught.value.code == "storage_damaged"
