--- a/hingepitch/control/audit.py
+++ b/hingepitch/control/audit.py
@@ -78,7 +78,7 @@
         return None
     try:
         return DECODER.decode(line)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
 
 
--- a/hingepitch/control/batch.py
+++ b/hingepitch/control/batch.py
@@ -107,7 +107,7 @@
             return Batch(0, VOTE_DECODER.decode(body), ())
         if record_type == ENTRY_RECORD:
             return Batch(0, None, (make_entry(ENTRY_DECODER.decode(body)),))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise HingepitchError("storage_unknown", f"not a batch: {error}") from None
     raise HingepitchError("storage_unknown", f"no record of type {record_type}")
 
--- a/hingepitch/control/storage.py
+++ b/hingepitch/control/storage.py
@@ -101,7 +101,7 @@
     is_whole = record is not None and record[0] == SNAPSHOT_RECORD
     try:
         return SNAPSHOT_DECODER.decode(record[1] if is_whole else data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         code = "storage_unknown" if is_whole else "storage_damaged"
         raise HingepitchError(code, f"not a snapshot: {error}") from None
 
--- a/hingepitch/peerbook.py
+++ b/hingepitch/peerbook.py
@@ -12,6 +12,7 @@
 
 import gevent
 import msgspec
+from gevent.lock import BoundedSemaphore
 
 from hingepitch.disk import Disk
 from hingepitch.durable import run_off_loop, write_whole
@@ -69,6 +70,7 @@
         self.seeds = list(seeds)
         self.path = Path(folder) / FILE_NAME if folder else None
         self.rows = []
+        self.lock = BoundedSemaphore(1)
 
     def load(self):
         """Read what was remembered; an unreadable book is left aside."""
@@ -105,7 +107,9 @@
         sync waits in a thread, so that a slow disk holds nobody else up.
         """
         try:
-            run_off_loop(write_whole, self.disk, self.path, encode(self.rows))
+            # The announcer learns rows too; both would write the same file.
+            with self.lock:
+                run_off_loop(write_whole, self.disk, self.path, encode(self.rows))
         except OSError as error:
             log_event("storage_failed", file=FILE_NAME, error=error)
 
