--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -22,9 +22,11 @@
 from hingepitch.control.storage import Storage, decode_snapshot, found_folder
 from hingepitch.disk import Disk, DiskFile
 from hingepitch.error import HingepitchError
+from hingepitch.httpd import wait_until
 from hingepitch.jobs.question import MemberRow
 from hingepitch.peerbook import PeerBook
 from standin.powerdisk import PowerDisk, Refusal, read_folder
+from tests.power_replica import SECONDS, PowerReplica
 
 MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
 
@@ -164,3 +166,23 @@
     with pytest.raises(HingepitchError) as caught:
         decode_snapshot(b"\x81\xa4none" + b"\x91" * DEPTH)
     assert caught.value.code == "storage_damaged"
+
+
+def test_a_replica_serves_again_after_a_write_that_the_disk_refused(tmp_path):
+    """It starts anew from the disk: its core is ahead of that."""
+    one = PowerReplica(tmp_path / "data")
+    try:
+        one.start()
+        one.relabel()
+        one.disk.refuse(Refusal(names=("sync",)))
+        one.relabel()
+        before = list(one.acked)
+        assert wait_until(lambda: not one.replica.storage_fault, SECONDS)
+        assert wait_until(one.is_ready, SECONDS)
+        one.relabel()
+        assert len(one.acked) == len(before) + 1
+        one.lose_power()
+        one.start()
+        assert one.missing() == []
+    finally:
+        one.kill()
