--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -160,8 +160,8 @@
         replica = self.replica
         self.metrics.set(
             "log_set_aside",
-            "1 if the log could not be read at the last opening.",
-            int(bool(replica.storage.set_aside_reason)),
+            "1 while files of a log that could not be read are kept.",
+            int(bool(replica.storage.kept_aside)),
         )
         self.metrics.set(
             "audit_places_missing",
@@ -198,7 +198,7 @@
             "commands_applied": replica.commands_applied,
             "storage_fault": replica.storage_fault,
             "unread": replica.unread,
-            "set_aside": replica.storage.set_aside_reason,
+            "set_aside": replica.storage.kept_aside,
             "failing_children": self.supervisor.failing,
             "entries": entries,
         }
--- a/hingepitch/control/storage.py
+++ b/hingepitch/control/storage.py
@@ -143,6 +143,8 @@
         A `hingepitch.disk.Disk`.
     `set_aside_reason`
         Why the log was set aside at this opening; empty if it was not.
+    `kept_aside`
+        Why there are files of a log that was set aside; empty if there are none.
     """
 
     def __init__(self, folder, name, disk=None):
@@ -153,6 +155,7 @@
         self.segment = None
         self.bytes_written = 0
         self.set_aside_reason = ""
+        self.kept_aside = ""
         self.forget()
 
     def forget(self):
@@ -178,6 +181,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.take_lock()
         self.remove_leftovers()
+        self.kept_aside = "at an earlier start" if self.names_aside() else ""
         try:
             recovered = self.recover()
         except HingepitchError as error:
@@ -247,10 +251,8 @@
         identity would take for its own. Only a founding that was cut short
         leaves its snapshot, and nothing else.
         """
-        names = os.listdir(self.folder)
-        was_set_aside = any(name.startswith(ASIDE_PREFIX) for name in names)
-        left = {name for name in names if LOG_NAME.fullmatch(name)}
-        if not was_set_aside:
+        left = set(filter(LOG_NAME.fullmatch, os.listdir(self.folder)))
+        if not self.names_aside():
             left.discard(self.snapshot_path(0).name)
         return bool(left)
 
@@ -357,7 +359,7 @@
         anybody would vote with, wherever a loss of power cuts this short.
         """
         log_event("log_set_aside", folder=self.folder, reason=reason)
-        self.set_aside_reason = reason
+        self.set_aside_reason = self.kept_aside = reason
         if (self.folder / IDENTITY_NAME).exists():
             self.remove_aside()
             self.put_aside(IDENTITY_NAME)
@@ -369,9 +371,13 @@
 
     def remove_aside(self):
         """Remove a log that was set aside before: one is kept."""
-        for name in os.listdir(self.folder):
-            if name.startswith(ASIDE_PREFIX):
-                self.disk.remove(self.folder / name)
+        for name in self.names_aside():
+            self.disk.remove(self.folder / name)
+
+    def names_aside(self):
+        """Return the names of the files of a log that was set aside."""
+        names = os.listdir(self.folder)
+        return [name for name in names if name.startswith(ASIDE_PREFIX)]
 
     def put_aside(self, name):
         """Rename one file of a log that cannot be read."""
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -16,6 +16,7 @@
 import pytest
 from gevent.event import Event
 
+from adapter import replica
 from adapter.replica import PlatformControl
 from hingepitch.control.audit import decode_line
 from hingepitch.control.message import Entry, EntryKind, Member
@@ -65,13 +66,14 @@
 
 @pytest.mark.parametrize("after", range(11))
 def test_a_founding_that_the_disk_refuses_once_does_not_end_the_program(
-    tmp_path, after
+    tmp_path, monkeypatch, after
 ):
     """The platform founds outside of the loop that waits for the disk.
 
     The program ends with the error. Its next start is not the first one, does
     not found, and takes a new identity that no group knows.
     """
+    monkeypatch.setattr(replica, "FOUND_PAUSE_SECONDS", 0.01)
     folder = tmp_path / "data"
     folder.mkdir()
     disk = PowerDisk(folder)
@@ -186,3 +188,22 @@
         assert one.missing() == []
     finally:
         one.kill()
+
+
+def test_the_status_tells_of_a_log_set_aside_until_its_files_are_removed(tmp_path):
+    found_folder(tmp_path / "data", "c1", MEMBERS)
+    (tmp_path / "data" / "identity").write_bytes(b"\xff\xfe")
+    storage = Storage(tmp_path / "data", "c1")
+    storage.open()
+    assert storage.kept_aside == "not an identity"
+    storage.close()
+    again = storage.anew()
+    again.open()
+    assert again.kept_aside == "at an earlier start"
+    again.close()
+    for path in (tmp_path / "data").glob("set-aside-*"):
+        path.unlink()
+    last = storage.anew()
+    last.open()
+    assert not last.kept_aside
+    last.close()
