Planted faults of the data folder, each caught by a test

Ruled out as needed on its own: reading void segments (the term check keeps their entries out too; the fault takes both).

--- a/standin/faults.py
+++ b/standin/faults.py
@@ -63,6 +63,10 @@
     "        if False:",
 )
 
+#: Tests of the data folder.
+ON_A_DISK_WITH_TROUBLES = "on_a_disk_with_troubles"
+SET_ASIDE = "losses_cut_short"
+
 FAULTS = (
     Fault(
         "budget",
@@ -553,6 +557,226 @@
         ),
         "lost_its_disk_does_not_hide_the_leader",
     ),
+    Fault(
+        "durable",
+        "a write is not synced",
+        (
+            (
+                "control/storage.py",
+                "        self.segment.write_all(data)\n        self.segment.sync()",
+                "        self.segment.write_all(data)",
+            ),
+        ),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "what was read is believed without a sync",
+        (
+            (
+                "control/storage.py",
+                "        run_off_loop(self.segment.sync)",
+                "        pass",
+            ),
+        ),
+        "lasts_once_it_was_read",
+    ),
+    Fault(
+        "durable",
+        "a whole file is not synced before it is renamed",
+        (("durable.py", "        file.sync()\n", ""),),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "the folder is not synced after a rename",
+        (("durable.py", "    disk.sync_folder(path.parent)", "    pass"),),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "the folder is not synced after a new segment",
+        (
+            (
+                "control/storage.py",
+                "segment.size\n        self.disk.sync_folder(self.folder)",
+                "segment.size",
+            ),
+        ),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "the folder is not synced when the identity is set aside",
+        (
+            (
+                "control/storage.py",
+                "            self.put_aside(IDENTITY_NAME)\n"
+                "            self.disk.sync_folder(self.folder)\n",
+                "            self.put_aside(IDENTITY_NAME)\n",
+            ),
+        ),
+        SET_ASIDE,
+    ),
+    Fault(
+        "durable",
+        "the checksum of a record is not checked",
+        (
+            (
+                "control/batch.py",
+                "if zlib.crc32(body, record_type) != checksum:",
+                "if False:",
+            ),
+        ),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "each entry of a write has a record of its own",
+        (
+            (
+                "control/storage.py",
+                "data = encode_batch(Batch(self.sequence + 1, vote, tuple(entries)))",
+                """data = encode_batch(Batch(self.sequence + 1, vote, ()))
+        for one in entries:
+            data += encode_batch(Batch(self.sequence + 1, None, (one,)))""",
+            ),
+        ),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "any whole record shows that the torn one had been synced",
+        (
+            (
+                "control/batch.py",
+                "return decode_batch(record_type, body).sequence > sequence",
+                "return True",
+            ),
+        ),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "damage in front of what was synced is cut",
+        (
+            (
+                "control/batch.py",
+                "if record is not None and is_later(record, expected):",
+                "if False:",
+            ),
+        ),
+        "damage_at_every_byte",
+    ),
+    Fault(
+        "durable",
+        "a snapshot is written before the segment that it names",
+        (
+            (
+                "control/storage.py",
+                "            self.write(self.vote, entries)\n            snapshot.vote",
+                "            snapshot.vote",
+            ),
+            (
+                "control/storage.py",
+                "            run_off_loop(write_whole, self.disk, path, data)\n",
+                "            run_off_loop(write_whole, self.disk, path, data)\n"
+                "            self.write(self.vote, entries)\n",
+            ),
+        ),
+        "snapshot_with_entries_behind",
+    ),
+    Fault(
+        "durable",
+        "segments that a snapshot voided are read",
+        (
+            (
+                "control/storage.py",
+                "self.numbers(SEGMENT_NAME) if at >= first]",
+                "self.numbers(SEGMENT_NAME)]",
+            ),
+            # Either of the two keeps such entries out.
+            (
+                "control/storage.py",
+                "            if entry.term < self.snapshot.term:",
+                "            if False:",
+            ),
+        ),
+        "voided_may_come_back",
+    ),
+    Fault(
+        "durable",
+        "a torn tail stays",
+        (("control/storage.py", "        self.cut(path, end)", "        pass"),),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "the vote is not in the snapshot's segment",
+        (
+            (
+                "control/storage.py",
+                "            self.write(self.vote, entries)\n            snapshot.vote"
+                " = self.vote\n",
+                "            self.write(None, entries)\n",
+            ),
+        ),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "the audit trail is not cut to its mark",
+        (
+            (
+                "control/audit.py",
+                "            self.file.truncate(self.mark.size)",
+                "            pass",
+            ),
+        ),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "files of the audit trail begun after its mark stay",
+        (
+            (
+                "control/audit.py",
+                "                self.disk.remove(path)",
+                "                pass",
+            ),
+        ),
+        "earlier_trail",
+    ),
+    Fault(
+        "durable",
+        "the audit trail is not synced before its mark is written",
+        (("control/audit.py", "        run_off_loop(self.file.sync)\n", ""),),
+        ON_A_DISK_WITH_TROUBLES,
+    ),
+    Fault(
+        "durable",
+        "what is left of an old log is taken by a new identity",
+        (
+            (
+                "control/storage.py",
+                "        if self.holds_old_log():",
+                "        if self.numbers(SEGMENT_NAME):",
+            ),
+        ),
+        SET_ASIDE,
+    ),
+    Fault(
+        "durable",
+        "a file is closed before the next one is open",
+        (
+            (
+                "control/storage.py",
+                "        before = self.segment\n",
+                "        before = self.segment\n        before and before.close()\n",
+            ),
+        ),
+        "closed_twice",
+    ),
 )
 
 
--- a/tests/test_disk_states.py
+++ b/tests/test_disk_states.py
@@ -22,7 +22,7 @@
 
 import hypothesis
 import pytest
-from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis import HealthCheck, Phase, settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
@@ -40,7 +40,7 @@
 from standin.powerdisk import CALL_NAMES, GROWING_NAMES, PowerDisk, Refusal
 
 MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
-EXAMPLES_IN_CI = 120
+EXAMPLES_IN_CI = 200
 STEPS = 30
 
 #: Sizes of the audit trail, in bytes: small, so that a few records fill a buffer
@@ -97,27 +97,38 @@
     trail: tuple
 
 
-calls = st.integers(0, 14)
+#: Calls that go well before a trouble: a write is two calls, a snapshot about 12.
+FEW = st.integers(0, 2)
+MANY = st.integers(0, 13)
+
 seeds = st.integers(0, 999)
 parts = st.sampled_from((0.0, 0.3, 0.6, 1.0))
 refused_names = st.sampled_from(
     (CALL_NAMES, GROWING_NAMES, UNDOING_NAMES, SYNCING_NAMES, ("truncate",))
 )
-trouble = st.one_of(
-    st.builds(Trouble, st.just("power"), calls, seeds),
-    st.builds(Trouble, st.just("kill"), calls, seeds, part=parts),
-    st.builds(
-        Trouble,
-        st.just("refused"),
-        calls,
-        seeds,
-        count=st.integers(1, 4),
-        names=refused_names,
-        part=parts,
-    ),
-)
-maybe_trouble = st.one_of(st.none(), st.none(), trouble)
-troubles_at_opening = st.lists(trouble, max_size=2)
+
+
+def troubles_after(calls):
+    """Return the strategy of the troubles after so many calls."""
+    return st.one_of(
+        st.builds(Trouble, st.just("power"), calls, seeds),
+        st.builds(Trouble, st.just("power"), calls, seeds),
+        st.builds(Trouble, st.just("kill"), calls, seeds, part=parts),
+        st.builds(
+            Trouble,
+            st.just("refused"),
+            calls,
+            seeds,
+            count=st.integers(1, 4),
+            names=refused_names,
+            part=parts,
+        ),
+    )
+
+
+soon = st.one_of(st.none(), troubles_after(FEW))
+late = st.one_of(st.none(), troubles_after(MANY))
+troubles_at_opening = st.lists(troubles_after(st.integers(0, 6)), max_size=2)
 payload_sizes = st.sampled_from((0, 20, 300, 5000, 13000))
 
 
@@ -188,7 +199,10 @@
             self.disk.lose_power(random.Random(how.seed))
 
     def open_once(self):
-        """Open the folder as `Replica.reopen` does, and check what it holds."""
+        """Open the folder as a replica does, and check what it holds.
+
+        A program that starts writes nothing by that: what it read has to last.
+        """
         self.storage = Storage(self.folder, "c1", self.disk)
         self.audit = AuditTrail(self.folder, self.disk)
         recovered = self.storage.open()
@@ -196,7 +210,6 @@
         self.check(recovered, snapshot)
         self.audit.open(snapshot.trail, snapshot.index)
         self.apply_again()
-        self.storage.write(self.storage.vote, [])
 
     def reopen(self, troubles):
         """Open the folder with these troubles on the way, and then without."""
@@ -302,7 +315,7 @@
         is_vote=st.booleans(),
         sizes=st.lists(payload_sizes, max_size=4),
         over=st.integers(0, 3),
-        how=maybe_trouble,
+        how=soon,
     )
     def write(self, is_vote, sizes, over, how):
         """Write a vote or entries, perhaps in the place of a tail."""
@@ -331,7 +344,7 @@
             return b""
         return b" " * 4096 + encode_batch(Batch(self.storage.sequence - 1, None, ()))
 
-    @rule(count=st.integers(1, 6), how=maybe_trouble)
+    @rule(count=st.integers(1, 3), how=soon)
     def commit(self, count, how):
         """Apply some entries; their audit records are not synced."""
         start = self.commit_index
@@ -339,7 +352,7 @@
         end = self.commit_index
         self.attempt(lambda: self.apply_up_to(start, end), self.held, how)
 
-    @rule(how=maybe_trouble)
+    @rule(how=late)
     def save_snapshot(self, how):
         """Write a snapshot, with the entries behind it."""
         old, index = self.held, self.commit_index
@@ -360,7 +373,7 @@
         snapshot.trail = self.audit.sync()
         self.storage.save_snapshot(snapshot, behind)
 
-    @rule(ahead=st.integers(1, 5), how=maybe_trouble)
+    @rule(ahead=st.integers(1, 5), how=late)
     def install(self, ahead, how):
         """Install a snapshot of another replica, as `Replica.install` does."""
         old = self.held
@@ -382,12 +395,17 @@
         self.audit.skip_to(snapshot.index)
         self.write_snapshot(snapshot, ())
 
-    @rule(how=trouble, troubles=troubles_at_opening)
+    @rule(how=troubles_after(FEW), troubles=troubles_at_opening)
     def end_and_reopen(self, how, troubles):
         """End the process between two steps; the opening may have troubles."""
         self.end(how)
         self.reopen(troubles)
 
+    @rule(how=soon)
+    def write_nothing(self, how):
+        """Write the vote again, as a replica does that opens its files anew."""
+        self.attempt(lambda: self.storage.write(self.storage.vote, []), self.held, how)
+
     @rule()
     def read_trail(self):
         """Read the audit trail while it is written."""
@@ -402,6 +420,8 @@
             max_examples=examples,
             stateful_step_count=STEPS,
             derandomize=is_seeded,
+            # Without shrinking a fault is told in seconds; a run by hand shrinks.
+            phases=(Phase.generate,) if is_seeded else tuple(Phase),
             database=None,
             deadline=None,
             suppress_health_check=list(HealthCheck),
--- a/tests/test_set_aside.py
+++ b/tests/test_set_aside.py
@@ -17,7 +17,7 @@
 from standin.powerdisk import PowerDisk, read_folder
 
 MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
-SEEDS = range(4)
+SEEDS = range(10)
 
 #: More than the calls of a set-aside and of the opening after it.
 CALLS = 20
@@ -29,8 +29,9 @@
 
 def fill(folder, snapshot_index):
     """Write votes, entries, records of the trail and perhaps a snapshot."""
-    found_folder(folder, "c1", MEMBERS)
-    storage, audit = Storage(folder, "c1"), AuditTrail(folder)
+    disk = PowerDisk(folder)
+    found_folder(folder, "c1", MEMBERS, disk)
+    storage, audit = Storage(folder, "c1", disk), AuditTrail(folder, disk)
     storage.open()
     audit.open()
     storage.write((1, "c1"), [entry(1), entry(2)])
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,7 +1,9 @@
 """The data folder: torn tails, damage, locks, full disks, lost identities."""
 
+import contextlib
 import errno
 import os
+import random
 import shutil
 
 import pytest
@@ -13,6 +15,12 @@
 from hingepitch.error import HingepitchError
 from standin.powerdisk import PowerDisk, Refusal
 
+#: Seeds of what a loss of power leaves.
+LOSSES = range(12)
+
+#: Calls that change the disk, the removal of void files included.
+CALLS_OF_A_SNAPSHOT = 13
+
 MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
 
 
@@ -168,6 +176,52 @@
     audit.close()
 
 
+def test_what_a_killed_program_left_unsynced_lasts_once_it_was_read(folder):
+    for seed in LOSSES:
+        disk = PowerDisk(folder)
+        storage = Storage(folder, "c1", disk)
+        before = storage.open()
+        last = len(before.entries)
+        disk.refuse(Refusal(count=None, names=("sync", "truncate")))
+        with pytest.raises(HingepitchError):
+            storage.write((seed + 1, "c2"), [entry(last + 1)])
+        storage.close()
+        disk.refuse(None)
+        storage = Storage(folder, "c1", disk)
+        read = storage.open()
+        storage.close()
+        assert (read.term, len(read.entries)) == (seed + 1, last + 1)
+        disk.lose_power(random.Random(seed))
+        storage, recovered = open_storage(folder)
+        storage.close()
+        assert recovered == read
+
+
+def test_power_is_lost_in_every_call_of_a_snapshot_with_entries_behind_it(folder):
+    write_entries(folder, [entry(1), entry(2), entry(3)])
+    whole = contents(folder)
+    for after in range(CALLS_OF_A_SNAPSHOT):
+        for seed in LOSSES:
+            restore(folder, whole)
+            disk = PowerDisk(folder)
+            storage = Storage(folder, "c1", disk)
+            storage.open()
+            disk.lose_power_after(after)
+            snapshot = Snapshot(1, 1, MEMBERS, b"state")
+            with contextlib.suppress(HingepitchError):
+                storage.save_snapshot(snapshot, [entry(2), entry(3)])
+            assert disk.has_power == (after == CALLS_OF_A_SNAPSHOT - 1)
+            storage.close()
+            disk.lose_power(random.Random(seed))
+            storage = Storage(folder, "c1", PowerDisk(folder))
+            recovered = storage.open()
+            storage.close()
+            assert not storage.set_aside_reason
+            assert recovered.entries[-2:] == [entry(2), entry(3)]
+            assert recovered.snapshot_index in (0, 1)
+            assert len(recovered.entries) == 3 - recovered.snapshot_index
+
+
 def test_emptied_folder_is_a_new_identity_without_members(tmp_path):
     storage, recovered = open_storage(tmp_path / "fresh")
     assert recovered.identity.startswith("c1~")
