A torn write that left its begin and zeros is cut

Cause: the checksum of an empty body is the record's type, so a header of which a loss left the magic, and zeros behind, was a whole record of type 0: an unknown version, at which the program ends, at each start. Ruled out: the check of the length (zero was allowed) and any body of zeros (its checksum is not zero).

--- a/hingepitch/control/batch.py
+++ b/hingepitch/control/batch.py
@@ -72,7 +72,9 @@
     magic, length, checksum, record_type = HEADER.unpack_from(data, offset)
     start = offset + HEADER.size
     end = start + length
-    if magic != MAGIC or length > MAX_RECORD_BYTES or end > len(data):
+    # No record is empty: the checksum of nothing is the type, so a torn header,
+    # zeros behind the magic, would hold.
+    if magic != MAGIC or not 0 < length <= MAX_RECORD_BYTES or end > len(data):
         return None
     body = data[start:end]
     if zlib.crc32(body, record_type) != checksum:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hingepitch.control.audit import MAX_FILE_BYTES, AuditTrail
-from hingepitch.control.batch import frame
+from hingepitch.control.batch import HEADER, frame
 from hingepitch.control.message import Entry, EntryKind, Member
 from hingepitch.control.storage import Snapshot, Storage, found_folder
 from hingepitch.error import HingepitchError
@@ -222,6 +222,18 @@
             assert len(recovered.entries) == 3 - recovered.snapshot_index
 
 
+def test_a_torn_write_that_left_its_begin_and_zeros_is_cut(folder):
+    """A header of zeros behind the magic was a whole record, of an unknown type."""
+    write_entries(folder, [entry(1)])
+    whole = segment(folder).read_bytes()
+    for size in range(1, HEADER.size):
+        segment(folder).write_bytes(whole + whole[:size] + bytes(40))
+        storage, recovered = open_storage(folder)
+        storage.close()
+        assert recovered.entries == [entry(1)]
+        assert segment(folder).read_bytes() == whole
+
+
 def test_emptied_folder_is_a_new_identity_without_members(tmp_path):
     storage, recovered = open_storage(tmp_path / "fresh")
     assert recovered.identity.startswith("c1~")
