A start waits ten seconds for its data folder, and no longer

Cause: seen red in the run of all tests: test_second_daemon_on_the_same_folder. The wait for a folder that is in use had no end, so that a second daemon on the same folder was not told of by its end any more, which the test rightly asks for. Change: the wait is bounded; the test is unchanged.

--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -62,6 +62,10 @@
 PAUSE_AFTER_FAULT_SECONDS = 1.0
 READ_SECONDS = 2.0
 
+#: How long a start waits for the process that has its data folder, in seconds.
+#: Source: longer than a process has between SIGTERM and SIGKILL (6 s).
+LOCKED_SECONDS = 10.0
+
 #: Commands gather for one batch while the leader's disk writes, but no longer
 #: than this, in seconds. Source: a sync takes 4 to 9 ms on the disks played.
 BATCH_SECONDS = 0.01
@@ -149,11 +153,13 @@
         """Open the data folder as soon as it can be written.
 
         A disk that refuses for a while is no reason to end the program, nor is
-        the process that had the folder last and has not gone yet.
+        the process that had the folder last and has not gone yet; one that
+        stays is, for then somebody started two.
 
         `stopping`
             Event after which nobody waits; then `storage_failed` is raised.
         """
+        locked_until = lease_seconds() + LOCKED_SECONDS
         while True:
             try:
                 self.open()
@@ -162,7 +168,7 @@
             except OSError as error:
                 self.note_storage_fault(error)
             except HingepitchError as error:
-                if error.code != "folder_locked":
+                if error.code != "folder_locked" or lease_seconds() > locked_until:
                     raise
                 self.note_storage_fault(error)
             self.close()
--- a/tests/test_start_waits.py
+++ b/tests/test_start_waits.py
@@ -110,6 +110,18 @@
     replica.close()
 
 
+def test_a_data_folder_that_stays_in_use_ends_the_start(tmp_path, monkeypatch):
+    monkeypatch.setattr("hingepitch.control.replica.PAUSE_AFTER_FAULT_SECONDS", 0.01)
+    monkeypatch.setattr("hingepitch.control.replica.LOCKED_SECONDS", 0.05)
+    found_folder(tmp_path, "c1", MEMBERS)
+    other = Storage(tmp_path, "c1")
+    other.open()
+    with pytest.raises(HingepitchError) as caught:
+        make_replica(tmp_path).open_when_possible(Event())
+    assert caught.value.code == "folder_locked"
+    other.close()
+
+
 def test_a_disk_that_refuses_at_the_first_start_is_waited_for(tmp_path, monkeypatch):
     replica = pytest.importorskip("adapter.replica")
     monkeypatch.setattr(replica, "FOUND_PAUSE_SECONDS", 0.01)
