--- a/soak/caller.py
+++ b/soak/caller.py
@@ -33,16 +33,15 @@
 
     `widths`
         Tasks of each step.
-    `accepted_at`, `cancelled_at`
-        When its acceptance and its cancelling were acknowledged, in seconds of
-        the steady clock, or None.
+    `cancelled_at`
+        When its cancelling was acknowledged, in seconds of the steady clock.
     `state`
         The state that was shown last.
     """
 
     id: str
     widths: tuple[int, ...]
-    accepted_at: float | None = None
+    is_accepted: bool = False
     is_cancel_sent: bool = False
     cancelled_at: float | None = None
     state: str = ""
@@ -78,7 +77,7 @@
 
     def accepted(self):
         """Return the jobs whose acceptance was acknowledged."""
-        return [job for job in self.jobs if job.accepted_at is not None]
+        return [job for job in self.jobs if job.is_accepted]
 
     def call(self, method, job, body=None):
         """Call an entry about a job."""
@@ -99,7 +98,7 @@
         status, data = self.call("POST", job, body)
         self.unsure = None
         if status == 200:
-            job.accepted_at = time.monotonic()
+            job.is_accepted = True
             return True
         if status == 0 or status >= 500:
             self.unsure = job
@@ -139,9 +138,12 @@
             job.cancelled_at = time.monotonic()
         return is_acked
 
-    def finish(self, seconds):
-        """Ask until every accepted job has ended; note those that have not."""
-        deadline = time.monotonic() + seconds
+    def finish(self, deadline):
+        """Ask until every accepted job has ended; note those that have not.
+
+        `deadline`
+            Time of the steady clock, in seconds.
+        """
         waiting = [job for job in self.accepted() if not job.has_ended]
         while waiting and time.monotonic() < deadline:
             for job in waiting:
@@ -149,5 +151,5 @@
             waiting = [job for job in waiting if not job.has_ended]
             time.sleep(0.05)
         for job in self.accepted():
-            detail = f"{job.id} is {job.state or 'unknown'} after {seconds} s"
+            detail = f"{job.id} is {job.state or 'unknown'}"
             self.record.check("accepted jobs end", job.has_ended, detail)
--- a/soak/fault.py
+++ b/soak/fault.py
@@ -15,24 +15,26 @@
 
 __all__ = ["Faults"]
 
-#: Between two faults, in seconds, on average.
+#: Between two faults of a series, on average.
 MEAN_GAP_SECONDS = 0.7
 
-#: Until a process that ended is started again, in seconds. Source: the users'
-#: platform has it back within a second.
+#: One fault in so many is the last of its series; then the changes of a storm
+#: gather, so that the next loss of power has writes to tear.
+SERIES = 4
+CALM_SECONDS = (1.0, 5.0)
+
+#: Until a process is started again. Source: the users' platform.
 RESTART_SECONDS = (0.1, 1.0)
 
 #: From the restart to the next loss of power while the process recovers.
 RECOVERY_LOSS_SECONDS = (0.1, 0.6)
+PAUSE_SECONDS = (0.2, 4.0)
 
 #: Longest time that a process may take to stop; a paused one takes longer.
 STOP_SECONDS = 15.0
-PAUSE_SECONDS = (0.2, 4.0)
-
-#: How often one who waits for the end of a process looks, in seconds.
 LOOK_SECONDS = 0.05
 
-#: A process that began so recently may not have its handler yet, in seconds.
+#: A process that began so recently may not have its handler yet.
 LOADING_SECONDS = 1.0
 
 #: Longest wait for the acknowledgement right after which a fault comes.
@@ -40,16 +42,8 @@
 
 MAX_LOST_DISKS = 2
 
-WEIGHT_BY_KIND = {
-    "kill": 3,
-    "pause": 3,
-    "stop": 2,
-    "hang_up": 1,
-    "lose_power": 4,
-    "lose_all_power": 2,
-    "lose_disks": 2,
-    "lose_disks_and_power": 1,
-}
+KINDS = ("kill", "pause", "stop", "hang_up", "lose_power", "lose_disks")
+WEIGHTS = (3, 3, 2, 1, 6, 3)
 
 
 class Faults:
@@ -71,8 +65,6 @@
         self.numbers = itertools.count()
         self.started_by_ip = dict.fromkeys(site.process_by_ip, time.monotonic())
 
-    # The schedule.
-
     def later(self, seconds, function, *arguments):
         """Have a function called after so many seconds."""
         at = time.monotonic() + seconds
@@ -81,7 +73,7 @@
     def run(self, seconds):
         """Bring faults about for so long, then undo what is left of them."""
         end = time.monotonic() + seconds
-        self.later(0, self.begin_next, end)
+        self.later(self.rng.uniform(*CALM_SECONDS), self.begin_next, end)
         while self.due:
             at, _, function, arguments = heapq.heappop(self.due)
             time.sleep(max(0, at - time.monotonic()))
@@ -92,17 +84,17 @@
         """Begin a fault by chance, and plan the next one."""
         if time.monotonic() > end:
             return
-        kinds, weights = zip(*WEIGHT_BY_KIND.items(), strict=True)
-        kind = self.rng.choices(kinds, weights)[0]
-        getattr(self, kind)()
-        self.later(self.rng.expovariate(1 / MEAN_GAP_SECONDS), self.begin_next, end)
+        getattr(self, self.rng.choices(KINDS, WEIGHTS)[0])()
+        seconds = self.rng.expovariate(1 / MEAN_GAP_SECONDS)
+        if self.rng.randrange(SERIES) == 0:
+            seconds += self.rng.uniform(*CALM_SECONDS)
+            self.record.note(f"calm, {self.writer.ack_count} changes acknowledged")
+        self.later(seconds, self.begin_next, end)
 
     def anyone(self):
         """Return the address of a control replica or an entry."""
         return self.rng.choice(self.site.control_ips * 2 + self.site.entry_ips)
 
-    # Processes.
-
     def kill(self):
         """Kill one process."""
         ip = self.anyone()
@@ -167,17 +159,15 @@
         for ip in filter(self.site.is_running, ips):
             self.site.process_by_ip[ip].signal(signal.SIGHUP)
 
-    # Power.
-
     def lose_power(self):
-        """Have some of the controls lose power."""
+        """Have some or all controls lose power, all right after an ack."""
         ips = self.site.control_ips
-        self.cut_power(self.rng.sample(ips, self.rng.randrange(1, len(ips))))
-
-    def lose_all_power(self):
-        """Have all controls lose power, right after an acknowledgement."""
-        self.await_ack()
-        self.cut_power(self.site.control_ips)
+        count = len(ips)
+        if self.rng.random() < 0.5:
+            count = self.rng.randrange(1, len(ips))
+        else:
+            self.await_ack()
+        self.cut_power(self.rng.sample(ips, count))
 
     def cut_power(self, ips):
         """Have controls lose power now, and perhaps while they recover."""
@@ -197,18 +187,14 @@
         while self.writer.ack_count == before and time.monotonic() < deadline:
             time.sleep(0.001)
 
-    # Disks.
-
     def lose_disks(self):
-        """Have one or two controls lose their disks, if that is allowed now."""
-        self.remove_disks(self.rng.randrange(1, MAX_LOST_DISKS + 1), False)
-
-    def lose_disks_and_power(self):
-        """Have two controls lose their disks while all others lose power."""
-        self.remove_disks(MAX_LOST_DISKS, True)
+        """Have controls lose their disks right after an acknowledgement.
 
-    def remove_disks(self, count, is_power_lost):
-        """Have controls lose their disks right after an acknowledgement."""
+        One or two, and none before the last ones are replaced; at times all
+        others lose power at that moment.
+        """
+        count = self.rng.randrange(1, MAX_LOST_DISKS + 1)
+        is_power_lost = self.rng.random() < 0.4
         members = self.site.whole_group(self.lost)
         if not members:
             return
@@ -216,8 +202,7 @@
         self.lost = {members[ip] for ip in lost}
         self.await_ack()
         others = [ip for ip in self.site.control_ips if ip not in lost]
-        rest = "all others lose power" if is_power_lost else "others go on"
-        self.record.note(f"disks lost at {' '.join(lost)}, {rest}")
+        self.record.note(f"disks lost at {' '.join(lost)}")
         self.site.kill(*lost, *(others if is_power_lost else []))
         self.site.lose_disk(*lost)
         if is_power_lost:
--- a/soak/record.py
+++ b/soak/record.py
@@ -77,15 +77,10 @@
                 yield from lines_around(logs, breach.at)
 
 
-def log_time(seconds):
-    """Return a time of day as the programs' log lines begin with."""
-    moment = datetime.fromtimestamp(seconds, UTC)
-    return moment.strftime("time=%Y-%m-%dT%H:%M:%S.") + f"{moment.microsecond:06}"[:3]
-
-
 def lines_around(logs, at):
-    """Yield the lines of all logs around a time of day, and their last tracebacks."""
-    first, last = log_time(at - AROUND_SECONDS), log_time(at + AROUND_SECONDS)
+    """Yield the lines of all logs around a time of day, and of their tracebacks."""
+    times = (at - AROUND_SECONDS, at + AROUND_SECONDS)
+    first, last = (f"time={datetime.fromtimestamp(one, UTC):%FT%T}" for one in times)
     found = []
     for path in sorted(logs.glob("*.log")):
         for line in path.read_text(errors="replace").splitlines():
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,10 +46,12 @@
         self.fault_seconds = fault_seconds
         self.record = Record()
         self.site = Site(is_journaled=True)
-        self.writer = ConfigWriter(self.controls(), self.record, self.rng("writer"))
-        self.reader = ConfigReader(self.controls(), self.record, self.writer)
+        controls = self.site.addresses(self.site.control_ips)
+        entries = self.site.addresses(self.site.entry_ips)
+        self.writer = ConfigWriter(controls, self.record, self.rng("writer"))
+        self.reader = ConfigReader(controls, self.record, self.writer)
         self.callers = [
-            Caller(self.entries(at), self.record, self.rng(f"caller {at}"))
+            Caller(entries, self.record, self.rng(f"caller {at}"))
             for at in range(CALLERS)
         ]
         self.faults = Faults(self.site, self.record, self.rng("faults"), self.writer)
@@ -58,15 +60,6 @@
         """Return the generator of one part of this run."""
         return random.Random(f"{self.seed}/{name}")
 
-    def controls(self):
-        """Return where the controls take calls."""
-        return [f"{ip}:{self.site.port}" for ip in self.site.control_ips]
-
-    def entries(self, first):
-        """Return where the entries take calls, beginning with one of them."""
-        ips = self.site.entry_ips[first:] + self.site.entry_ips[:first]
-        return [f"{ip}:{self.site.port}" for ip in ips]
-
     @property
     def clients(self):
         """All clients."""
@@ -76,8 +69,6 @@
         return self
 
     def __exit__(self, *_):
-        for client in self.clients:
-            client.stopping.set()
         self.site.close()
         for client in self.clients:
             client.stop()
@@ -98,12 +89,10 @@
     def check_recovery(self):
         """Check that calls are served again, and the group made whole."""
         began = time.monotonic()
-        probe = Caller(self.entries(0), self.record, self.rng("probe"))
-        self.callers.append(probe)
         for what, step in (
             ("configuration", self.writer.step),
             ("read", self.reader.step),
-            ("job", probe.submit),
+            ("job", self.callers[0].submit),
         ):
             is_served = holds_within(step, began + RECOVERY_SECONDS)
             seconds = time.monotonic() - began
@@ -120,8 +109,9 @@
 
     def check_end(self):
         """Check what holds at the end of a run."""
+        deadline = time.monotonic() + COMPLETE_SECONDS
         for caller in self.callers:
-            caller.finish(COMPLETE_SECONDS)
+            caller.finish(deadline)
         jobs = [job for caller in self.callers for job in caller.jobs]
         check_tasks(self.record, self.site, jobs)
         check_processes(self.record, self.site)
--- a/standin/site.py
+++ b/standin/site.py
@@ -226,6 +226,10 @@
 
     # What is seen from outside.
 
+    def addresses(self, ips):
+        """Return where processes take calls."""
+        return [f"{ip}:{self.port}" for ip in ips]
+
     def status(self, ip):
         """Return the status of a control replica, or None."""
         try:
