--- a/hingepitch/control/audit.py
+++ b/hingepitch/control/audit.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from hingepitch.control.storage import TrailMark
+from hingepitch.control.snapshot import TrailMark
 from hingepitch.disk import Disk
 from hingepitch.durable import run_off_loop
 from hingepitch.log import log_event
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -45,7 +45,7 @@
     Tick,
     Transfer,
 )
-from hingepitch.control.storage import Snapshot
+from hingepitch.control.snapshot import Snapshot
 from hingepitch.control.writer import LogWriter
 from hingepitch.error import HingepitchError
 from hingepitch.log import log_event
--- a/tests/test_disk_states.py
+++ b/tests/test_disk_states.py
@@ -35,7 +35,8 @@
 from hingepitch.control.audit import MISSING, AuditRecord, AuditTrail
 from hingepitch.control.batch import Batch, encode_batch
 from hingepitch.control.message import Entry, EntryKind, Member
-from hingepitch.control.storage import Snapshot, Storage, found_folder
+from hingepitch.control.snapshot import Snapshot
+from hingepitch.control.storage import Storage, found_folder
 from hingepitch.error import HingepitchError
 from standin.powerdisk import CALL_NAMES, GROWING_NAMES, PowerDisk, Refusal
 
--- a/tests/test_earlier_forms.py
+++ b/tests/test_earlier_forms.py
@@ -18,7 +18,8 @@
 from hingepitch.control import audit as audit_module
 from hingepitch.control.audit import AuditRecord, AuditTrail
 from hingepitch.control.message import Entry, EntryKind, Member
-from hingepitch.control.storage import Snapshot, Storage
+from hingepitch.control.snapshot import Snapshot
+from hingepitch.control.storage import Storage
 from standin.powerdisk import Call, PowerDisk, left_of
 
 EARLIER = Path(__file__).parent / "data" / "earlier"
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -20,7 +20,8 @@
 from adapter.replica import PlatformControl
 from hingepitch.control.audit import decode_line
 from hingepitch.control.message import Entry, EntryKind, Member
-from hingepitch.control.storage import Storage, decode_snapshot, found_folder
+from hingepitch.control.snapshot import decode_snapshot
+from hingepitch.control.storage import Storage, found_folder
 from hingepitch.disk import Disk, DiskFile
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
--- a/tests/test_set_aside.py
+++ b/tests/test_set_aside.py
@@ -13,7 +13,8 @@
 
 from hingepitch.control.audit import AuditRecord, AuditTrail
 from hingepitch.control.message import Entry, EntryKind, Member
-from hingepitch.control.storage import Snapshot, Storage, found_folder
+from hingepitch.control.snapshot import Snapshot
+from hingepitch.control.storage import Storage, found_folder
 from standin.powerdisk import PowerDisk, read_folder
 
 MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
--- a/tests/test_slow_disk.py
+++ b/tests/test_slow_disk.py
@@ -21,7 +21,7 @@
     Tick,
 )
 from hingepitch.control.replica import Replica
-from hingepitch.control.storage import Snapshot
+from hingepitch.control.snapshot import Snapshot
 from hingepitch.control.writer import LogWriter
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -11,7 +11,8 @@
 from hingepitch.control.audit import MAX_FILE_BYTES, AuditTrail
 from hingepitch.control.batch import HEADER, frame
 from hingepitch.control.message import Entry, EntryKind, Member
-from hingepitch.control.storage import Snapshot, Storage, found_folder
+from hingepitch.control.snapshot import Snapshot
+from hingepitch.control.storage import Storage, found_folder
 from hingepitch.error import HingepitchError
 from standin.powerdisk import PowerDisk, Refusal
 
