--- a/standin/faults.py
+++ b/standin/faults.py
@@ -630,6 +630,12 @@
         ),
         ON_A_DISK_WITH_TROUBLES,
     ),
+    Fault(
+        "durable",
+        "a record may be empty",
+        (("control/batch.py", "not 0 < length <=", "not 0 <= length <="),),
+        "left_its_begin",
+    ),
     Fault(
         "durable",
         "each entry of a write has a record of its own",
