A walk whose lines are missing tells which, and what the leaders did meanwhile

Seen once beside load 29: fewer than 100 lines run_ended of a job that succeeded; not traced, six runs of this test beside 24 busy processes showed all lines.

--- a/tests/test_walks.py
+++ b/tests/test_walks.py
@@ -37,7 +37,29 @@
         lines = [one for one in lines_of(site, job) if wanted <= one.items()]
         return lines if len(lines) >= count else None
 
-    return wait_for(found, what=f"{count} lines {event}")
+    try:
+        return wait_for(found, what=f"{count} lines {event}")
+    except TimeoutError as error:
+        raise AssertionError(f"{error}\n{story_of(site, job, event)}") from None
+
+
+#: Events of a leader that comes or goes, and of lines that were not written.
+STORY_EVENTS = re.compile(
+    r"event=(role_changed|session_\w+|leader_\w+|lines_\w+|child_failed)"
+)
+
+
+def story_of(site, job, event):
+    """Return what may tell why lines are missing."""
+    lines = lines_of(site, job)
+    tasks = [one.get("task") for one in lines if one["event"] == event]
+    log = [
+        line
+        for process in site.process_by_ip.values()
+        for line in process.log().splitlines()
+        if STORY_EVENTS.search(line)
+    ]
+    return "\n".join([f"{len(tasks)} lines, of {sorted(set(tasks))}", *sorted(log)])
 
 
 def seconds_between(first, second):
