--- a/tests/steps/outcome.py
+++ b/tests/steps/outcome.py
@@ -1,5 +1,7 @@
 """What must hold at the end."""
 
+from collections import Counter
+
 from pytest_bdd import parsers, then
 
 from hingepitch.error import HingepitchError
@@ -83,7 +85,12 @@
 def mostly_whole(scene, part):
     results = [one for one in scene.callers.results if one.service != "refill"]
     whole = sum(one.run == "whole" for one in results)
-    assert whole * 100 >= part * len(results)
+    others = Counter(
+        (one.service, one.run, one.code, one.vm)
+        for one in results
+        if one.run != "whole"
+    )
+    assert whole * 100 >= part * len(results), others.most_common()
 
 
 @then("nothing that was said not to have run did run")
