--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -30,25 +30,24 @@
         one.kill()
 
 
+def change_and_lose_power(one, losses):
+    for _ in range(losses):
+        one.start()
+        for _ in range(CHANGES):
+            one.relabel()
+        one.lose_power()
+    one.start()
+
+
 def test_a_replica_starts_after_each_loss_of_power(make_replica):
     for seed in SEEDS:
         one = make_replica(seed)
-        for _ in range(3):
-            one.start()
-            for _ in range(CHANGES):
-                one.relabel()
-            one.lose_power()
-        one.start()
+        change_and_lose_power(one, losses=3)
         assert one.missing() == [], seed
 
 
 def test_the_audit_trail_shows_each_change_once_after_a_loss(make_replica):
     for seed in SEEDS:
         one = make_replica(seed)
-        for _ in range(2):
-            one.start()
-            for _ in range(CHANGES):
-                one.relabel()
-            one.lose_power()
-        one.start()
+        change_and_lose_power(one, losses=2)
         assert one.audited() == [name for name, _ in one.acked], seed
