A minion that ends under runs tells which, and which had just started

What the agent saw tells those that may have been running and those that had just started, one line a life, and two counters. No decision changes.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -241,6 +241,7 @@
         if reply.kind is ReplyKind.DONE:
             view.status = RunViewStatus.RUNNING
             view.answered_at = lease_seconds()
+            view.note_begun(view.answered_at)
         elif reply.kind in (ReplyKind.UNSURE, ReplyKind.RUN_TOO_OLD):
             view.status = RunViewStatus.UNSURE
             view.answered_at = lease_seconds()
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -54,6 +54,7 @@
         self.metrics = metrics or Metrics("dispatch")
         self.session = None
         roster.on_beat = self.note_beat
+        roster.on_crash = self.note_crash
         roster.is_present = self.is_present
 
     def run(self):
@@ -103,6 +104,11 @@
         if self.session is not None:
             self.session.note_beat(minion_id, clock_ms)
 
+    def note_crash(self, life):
+        """Pass the end of a life on to the session, if there is one."""
+        if self.session is not None:
+            self.session.note_crash(life, self.session.blame(life))
+
     def is_present(self, minion):
         """Whether a life answers a call now; False while nobody may call it."""
         return self.session is not None and self.session.agents.is_present(minion)
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -64,6 +64,17 @@
             if job is not None and not job.is_open and job.ended_ms == at_ms:
                 self.observe_since("job_seconds", job, at_ms, status=job.status.value)
 
+    def note_crash(self, blame):
+        """Count a life of a minion that ended unplanned, and the runs lost with it."""
+        self.metrics.count(
+            "minion_crashes",
+            "Lives of minions that ended under runs.",
+            starting=str(bool(blame.starting)).lower(),
+        )
+        self.metrics.count(
+            "runs_exposed", "Runs under which a minion ended.", len(blame.exposed)
+        )
+
     def note_unread(self, look):
         """Count the rows of a look that could not be read."""
         for kind, count in (
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -235,6 +235,7 @@
             if view.row is None or view.row.percent != row.percent:
                 view.row_since = now
             view.row = row
+            view.note_begun(now)
             if view.status in UNSEEN_STATUSES:
                 view.status = RunViewStatus.RUNNING
                 view.answered_at = now
--- a/hingepitch/jobs/roster.py
+++ b/hingepitch/jobs/roster.py
@@ -17,6 +17,9 @@
     `on_beat`
         Function of a life and its clock, called for each new beat; set by
         the dispatcher.
+    `on_crash`
+        Function of a life that another one on its VM has ended; set by the
+        dispatcher.
     `is_present`
         Function of a `Minion`: whether that life answers a call now; set by
         the dispatcher.
@@ -25,6 +28,7 @@
     def __init__(self):
         self.sequence_by_minion = {}
         self.on_beat = None
+        self.on_crash = None
         self.is_present = None
 
     def clear(self):
@@ -39,6 +43,11 @@
         self.sequence_by_minion[beat.minion.id] = beat.sequence
         return True
 
+    def tell_crash(self, life):
+        """Tell the dispatcher that another life on its VM ends `life`."""
+        if self.on_crash is not None:
+            self.on_crash(life)
+
     def tell(self, minion_id, clock_ms):
         """Tell the dispatcher that a minion spoke."""
         if self.on_beat is not None:
--- a/hingepitch/jobs/runview.py
+++ b/hingepitch/jobs/runview.py
@@ -41,6 +41,8 @@
 class RunView:
     """One run as its agent sees it.
 
+    `begun_at`
+        When the minion was first known to run it; 0: not yet.
     `answered_at`
         When the last order for it was answered or given up; a look that was
         sent earlier says nothing about its absence.
@@ -63,3 +65,8 @@
     has_ended: bool = False
     row: object = None
     row_since: float = 0.0
+    begun_at: float = 0.0
+
+    def note_begun(self, now):
+        """Note that the minion runs it, as seen at `now`."""
+        self.begun_at = self.begun_at or now
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -221,6 +221,9 @@
         if not self.roster.note(question):
             return
         if known != minion:
+            before = self.table.life_by_vm.get(minion.vm, minion.id)
+            if before != minion.id:
+                self.roster.tell_crash(before)
             self.propose(Role.DISPATCHER, RegisterMinion(minion, wall_ms()))
             log_event(
                 "minion_registered",
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -14,6 +14,7 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.agentbook import AgentBook
+from hingepitch.jobs.blame import NO_BLAME, blame_of
 from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
 from hingepitch.jobs.contact import StartOrder
 from hingepitch.jobs.duration import Durations
@@ -52,6 +53,9 @@
 #: Pause between two looks that do not wait, in seconds.
 LOOK_PAUSE_SECONDS = 0.1
 
+#: Tasks that one log line names at most.
+LISTED_TASKS = 24
+
 
 class Session:
     """One leadership: what it may order, and what it has seen.
@@ -239,8 +243,27 @@
     def life_is_over(self, minion_id, reason):
         """Record that a life of a minion is over; return whether it is."""
         log_event("minion_removed", minion=minion_id, reason=reason)
+        self.note_crash(minion_id, self.blame(minion_id))
         return self.propose(RemoveMinion(minion_id, wall_ms()))
 
+    def blame(self, minion_id):
+        """Return the `Blame` if a life of a minion is over now, unplanned."""
+        agent = self.agent_by_minion.get(minion_id)
+        return blame_of(agent) if agent is not None else NO_BLAME
+
+    def note_crash(self, minion_id, blame):
+        """Log and count a life that ended under its runs."""
+        if not blame.exposed:
+            return
+        self.gauge.note_crash(blame)
+        log_event(
+            "minion_crashed",
+            minion=minion_id,
+            runs=len(self.runs_of(minion_id)),
+            exposed=" ".join(map(format_task, blame.exposed[:LISTED_TASKS])),
+            starting=" ".join(map(format_task, blame.starting[:LISTED_TASKS])),
+        )
+
     def fenced(self, minion_id):
         """Stop giving orders: a minion has heard a later leader."""
         log_event("session_fenced", minion=minion_id, fence=self.fence)
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -60,6 +60,7 @@
     "upkeep_step": "INFO",
     "minion_registered": "INFO",
     "minion_removed": "INFO",
+    "minion_crashed": "WARNING",
     "minion_silent": "INFO",
     "minion_answers": "INFO",
     "minion_lapsed": "WARNING",
