A task that crashes its minions is given up, and started apart until then

Callers saw a queue that served nobody: about fourteen tasks were started up to thirty times each, every start took a minion and ten runs with it, and what was lost together started together again on the next one.

Cause: a run lost with its minion put its task back to wait, and nothing remembered it. Class: a repetition without a memory, and so without a bound.

Mend: the log holds how many minions crashed under a task (CrashBook), how often soon after its start, and how often nothing else there can have done it. What the agent saw tells them apart; minions that fall silent at one moment have a cause in common and accuse nobody. Two crashes alone, or five in all, end the job as failed. After the first crash a task starts apart: on a minion where no run has just started, nothing else until it has settled, one suspect of a job at a time; from the third on, with the minion for itself. A silent minion whose lease is over is remembered with what was there, and cleared if it answers.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -17,6 +17,7 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.jobs.answer import AnswerTime
+from hingepitch.jobs.blame import is_proven, is_starting
 from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.contact import (
     REFUSALS,
@@ -65,6 +66,8 @@
     `met_at`, `heard_at`, `beat_at`
         When this leadership first knew the life, last had a message from it,
         and last had a beat; on `lease_seconds`.
+    `silent_since`
+        When it last fell silent; 0: never.
     `session`
         The leadership that the agent works for: gives orders their fence and
         takes the ends.
@@ -84,6 +87,7 @@
         self.met_at = lease_seconds()
         self.heard_at = 0.0
         self.beat_at = 0.0
+        self.silent_since = 0.0
         self.aside_until = 0.0
         self.filler_percent = 100
         self.health = MinionHealth()
@@ -151,6 +155,21 @@
         """Whether the minion is silent and nothing runs there any more."""
         return self.is_silent and now >= self.lease_over_at
 
+    def is_starting(self, run):
+        """Whether a run recorded here has not been at work for long enough to tell."""
+        view = self.view_by_task.get(run.task)
+        if view is None or view.run is not run:
+            return True
+        return is_starting(view, lease_seconds())
+
+    def is_proven(self, run):
+        """Whether a run has been at work for so long that it is not suspected."""
+        view = self.view_by_task.get(run.task)
+        step = self.session.step_of(run)
+        if view is None or view.run is not run or step is None:
+            return False
+        return is_proven(view, step, lease_seconds())
+
     def set_aside(self, seconds=ASIDE_SECONDS):
         """Place nothing here for a while."""
         self.aside_until = lease_seconds() + seconds
@@ -343,16 +362,18 @@
             self.note_silence(True)
             self.looks.wake.set()
             return
-        self.note_silence(False)
-        self.heard_at = lease_seconds()
-        if reply.clock_ms is not None:
-            self.note_clock(reply.clock_ms, asked_at)
         if reply.kind is ReplyKind.OTHER_LIFE:
+            self.note_silence(True)
             # Not gone until that is recorded: nobody else would try again.
             self.is_gone = self.session.life_is_over(
                 self.minion.id, "another life answered"
             )
-        elif reply.kind is ReplyKind.FENCED:
+            return
+        self.note_silence(False)
+        self.heard_at = lease_seconds()
+        if reply.clock_ms is not None:
+            self.note_clock(reply.clock_ms, asked_at)
+        if reply.kind is ReplyKind.FENCED:
             self.session.fenced(self.minion.id)
 
     def note_silence(self, is_silent):
@@ -364,6 +385,8 @@
                 runs=len(self.view_by_task),
                 lease_left=round(self.lease_over_at - lease_seconds(), 1),
             )
+        if is_silent and not self.is_silent:
+            self.silent_since = lease_seconds()
         self.is_silent = is_silent
 
     def end(self, view, result, checkpoint=""):
--- a/hingepitch/jobs/command.py
+++ b/hingepitch/jobs/command.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass
 
+from hingepitch.jobs.crash import NO_BLAME, Blame
 from hingepitch.jobs.queue import QueueConfig
 from hingepitch.jobs.record import Minion, RunResult, UpkeepStage
 from hingepitch.jobs.spec import JobSpec, TaskKey
@@ -31,6 +32,7 @@
     "SettleUpkeep",
     "Start",
     "StartRuns",
+    "SuspectLife",
 ]
 
 
@@ -109,18 +111,36 @@
 
 @dataclass(frozen=True, slots=True)
 class RegisterMinion:
-    """Add a life of a minion, or change what it says of itself."""
+    """Add a life of a minion, or change what it says of itself.
+
+    `blame`
+        For the crash of the life before on the same VM, which it ends.
+    """
 
     minion: Minion
     at_ms: int
+    blame: Blame = NO_BLAME
 
 
 @dataclass(frozen=True, slots=True)
 class RemoveMinion:
-    """A life of a minion is over, and all its runs with it."""
+    """A life of a minion is over, and all its runs with it.
+
+    `blame`
+        For its crash; nothing if its end was planned.
+    """
 
     id: str
     at_ms: int
+    blame: Blame = NO_BLAME
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectLife:
+    """A silent life may have crashed; if it answers again, nothing is to blame."""
+
+    id: str
+    blame: Blame
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +199,7 @@
     EndRuns,
     RegisterMinion,
     RemoveMinion,
+    SuspectLife,
     PutWave,
     BeginUpkeep,
     SettleUpkeep,
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -11,6 +11,7 @@
 import gevent
 
 from hingepitch.error import HingepitchError
+from hingepitch.jobs.blame import unseen_blame
 from hingepitch.jobs.session import Session
 from hingepitch.log import log_event
 from hingepitch.metric import Metrics
@@ -54,7 +55,7 @@
         self.metrics = metrics or Metrics("dispatch")
         self.session = None
         roster.on_beat = self.note_beat
-        roster.on_crash = self.note_crash
+        roster.on_crash = self.take_blame
         roster.is_present = self.is_present
 
     def run(self):
@@ -104,10 +105,11 @@
         if self.session is not None:
             self.session.note_beat(minion_id, clock_ms)
 
-    def note_crash(self, life):
-        """Pass the end of a life on to the session, if there is one."""
-        if self.session is not None:
-            self.session.note_crash(life, self.session.blame(life))
+    def take_blame(self, life):
+        """Return the `Blame` for a life that is over, as far as it was seen."""
+        if self.session is None:
+            return unseen_blame(self.replica.state.jobs, life)
+        return self.session.take_blame(life)
 
     def is_present(self, minion):
         """Whether a life answers a call now; False while nobody may call it."""
--- /dev/null
+++ b/hingepitch/jobs/isolation.py
@@ -0,0 +1,194 @@
+"""
+hingepitch.jobs.isolation
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Where tasks may start under which minions have crashed: apart from all others,
+so that the next crash tells who did it and takes nobody along.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from dataclasses import dataclass, field
+
+from hingepitch.jobs.crash import Suspicion
+from hingepitch.jobs.record import TaskStatus
+from hingepitch.jobs.spec import TaskKey
+
+__all__ = ["Isolation", "SuspectView", "suspect_view"]
+
+#: Part of a pool's minions that is kept free for suspects while any wait; at
+#: least one.
+RESERVED_PART = 1 / 4
+
+
+@dataclass(slots=True)
+class SuspectView:
+    """What the leader sees of the minions, as far as suspects are concerned.
+
+    `starting`
+        Lives on which a run has just started, or may have.
+    `held`
+        Lives on which nothing else may start, for a suspect is there.
+    `starting_jobs`
+        Jobs of which a suspect has just started.
+    """
+
+    starting: set[str] = field(default_factory=set)
+    held: set[str] = field(default_factory=set)
+    starting_jobs: set[str] = field(default_factory=set)
+
+
+class Isolation:
+    """Keeps suspects apart in one planning pass.
+
+    `crashes`
+        The `CrashBook`.
+    `view`
+        A `SuspectView`; the pass adds what it starts.
+    `gang_by_minion`
+        The gang for whose suspects this pass has taken a minion, by life.
+    """
+
+    def __init__(self, table, view):
+        self.table = table
+        self.crashes = table.crashes
+        self.view = view
+        self.gang_by_minion = {}
+        self.waiting_by_pool = {}
+        self.reserved_by_pool = {}
+        for job_id in self.crashes.jobs():
+            self.count_waiting(job_id)
+
+    def count_waiting(self, job_id):
+        """Count the suspects of a job that wait, by its pool."""
+        job = self.table.job_by_id.get(job_id)
+        if job is None or not job.is_open:
+            return
+        pool = self.table.policy(job).pool
+        waiting = sum(self.is_waiting(task) for task in self.crashes.suspects(job_id))
+        self.waiting_by_pool[pool] = waiting + self.waiting_by_pool.get(pool, 0)
+
+    def is_waiting(self, key):
+        """Whether the turn of a task has come."""
+        task = self.table.task(key)
+        is_ready = key[:3] in self.table.ready_steps
+        return is_ready and task is not None and task.status is TaskStatus.WAITING
+
+    @property
+    def is_idle(self):
+        """Whether there is nobody to keep apart."""
+        return not self.crashes and not self.view.held
+
+    def suspects_first(self, step_key, indexes):
+        """Return the tasks of a step, those first that few minions may take.
+
+        Of these, those first that had the fewest runs, so that none keeps the
+        others waiting by ending and starting again.
+        """
+        job_id = step_key[0]
+        if self.is_idle or job_id not in self.crashes.jobs():
+            return indexes
+        suspects = {
+            task.index for task in self.crashes.suspects(job_id) if task[:3] == step_key
+        }
+
+        def rank(index):
+            run = self.table.task(TaskKey(*step_key, index)).run
+            return (0, run) if index in suspects else (1, 0)
+
+        return sorted(indexes, key=rank)
+
+    def admitted(self, work, key, step, candidates):
+        """Return the minions that may take a task now, room aside."""
+        if self.is_idle:
+            return candidates
+        if self.crashes.suspicion(key):
+            return self.admitted_suspect(key, step, candidates)
+        if not candidates:
+            return candidates
+        kept = self.view.held | self.reserved(work, candidates[0].pool)
+        return [minion for minion in candidates if minion.id not in kept]
+
+    def admitted_suspect(self, key, step, candidates):
+        """Return the minions that may take a suspect: those that are settled.
+
+        One suspect of a job at a time: if it is to blame, the others need not
+        start. The suspects of a gang start together, beside each other.
+        """
+        if self.crashes.suspicion(key) is Suspicion.BARRED:
+            return []
+        gang = key[:3] if step.gang else None
+        if gang is None and key.job in self.view.starting_jobs:
+            return []
+        taken = self.view.starting | self.view.held
+        return [
+            minion
+            for minion in candidates
+            if minion.id not in taken
+            or (gang and self.gang_by_minion.get(minion.id) == gang)
+        ]
+
+    def reserved(self, work, pool):
+        """Return the lives of a pool that are kept free for its suspects.
+
+        Those that are nearest to be free of runs that have just started stay
+        reserved, for the pass starts nothing else there.
+        """
+        if pool not in self.reserved_by_pool:
+            self.reserved_by_pool[pool] = self.reserve(work, pool)
+        return self.reserved_by_pool[pool]
+
+    def reserve(self, work, pool):
+        """Choose the minions of a pool that are kept free for its suspects."""
+        minions = work.minions(pool)
+        most = max(1, int(len(minions) * RESERVED_PART))
+        count = min(self.waiting_by_pool.get(pool, 0), most)
+        if not count:
+            return set()
+
+        def distance(minion):
+            taken = work.room(minion).cpu_millicores
+            return minion.id in self.view.starting, taken, minion.id
+
+        nearest = sorted(minions, key=distance)[:count]
+        return {minion.id for minion in nearest}
+
+    def note_start(self, key, step, minion):
+        """Note that the pass starts a task on a minion."""
+        if self.is_idle:
+            return
+        if not self.crashes.suspicion(key):
+            self.view.starting.add(minion.id)
+            return
+        self.view.held.add(minion.id)
+        self.view.starting_jobs.add(key.job)
+        if step.gang:
+            self.gang_by_minion[minion.id] = key[:3]
+
+
+def suspect_view(session):
+    """Return the `SuspectView` of a leadership, of the pools that need it."""
+    table = session.table
+    view = SuspectView()
+    jobs = (table.job_by_id.get(job_id) for job_id in table.crashes.jobs())
+    pools = {table.policy(job).pool for job in jobs if job is not None}
+    for life, agent in session.agent_by_minion.items():
+        if agent.minion.pool in pools:
+            note_minion(view, session, life, agent)
+    return view
+
+
+def note_minion(view, session, life, agent):
+    """Add the runs of one minion to a `SuspectView`."""
+    for run in session.runs_of(life).values():
+        suspicion = session.table.crashes.suspicion(run.task)
+        is_starting = agent.is_starting(run)
+        if is_starting:
+            view.starting.add(life)
+        if is_starting and suspicion:
+            view.starting_jobs.add(run.task.job)
+        if is_starting and suspicion:
+            view.held.add(life)
+        if suspicion >= Suspicion.RUNNING and not agent.is_proven(run):
+            view.held.add(life)
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -202,6 +202,7 @@
             return
         if wait_ms == 0:
             self.agent.answer_time.note(lease_seconds() - sent_at)
+        self.agent.session.acquit(self.agent.minion.id)
         self.take_look(look, sent_at, taken)
         self.agent.renewals.note_answered(renewal)
         self.agent.wake.set()
@@ -318,4 +319,5 @@
             minion = self.agent.minion.id
             log_event("minion_lapsed", minion=minion, runs=len(ends), kept=kept)
         if ends:
+            self.agent.session.suspect(self.agent)
             self.agent.session.end_runs(tuple(ends))
--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -14,6 +14,7 @@
 from hingepitch.jobs.command import Start
 from hingepitch.jobs.due import due_ms, is_late
 from hingepitch.jobs.duration import Durations
+from hingepitch.jobs.isolation import Isolation, SuspectView
 from hingepitch.jobs.rack import minions_for_one_rack
 from hingepitch.jobs.record import TaskStatus
 from hingepitch.jobs.spec import TaskKey
@@ -38,6 +39,8 @@
         How many times as long tasks take that want one rack and have not.
     `rack_waited_ms_by_step`
         How long steps have waited that want one rack.
+    `suspects`
+        Where tasks run that may crash their minions.
     """
 
     now_ms: int
@@ -47,6 +50,7 @@
     durations: Durations = field(default_factory=Durations)
     far_factor: float = 2.0
     rack_waited_ms_by_step: dict[tuple, float] = field(default_factory=dict)
+    suspects: SuspectView = field(default_factory=SuspectView)
 
 
 @dataclass
@@ -60,6 +64,11 @@
     placed_by_step: dict[tuple, dict[str, int]] = field(default_factory=dict)
     too_large_by_pool: dict[str, list] = field(default_factory=dict)
 
+    @cached_property
+    def isolation(self):
+        """Keeps tasks apart under which minions have crashed."""
+        return Isolation(self.table, self.outlook.suspects)
+
     @cached_property
     def vms_due(self):
         """The VMs whose upkeep is still ahead."""
@@ -174,7 +183,8 @@
     """Yield the starts of one step that fit now; a gang starts whole."""
     _, round_number, step_number = key
     step = job.spec.steps[step_number]
-    if work.is_too_large(work.table.policy(job).pool, step):
+    pool = work.table.policy(job).pool
+    if work.isolation.is_idle and work.is_too_large(pool, step):
         return
     tasks = job.round_by_number[round_number].tasks_by_step[step_number]
     waiting = [
@@ -200,15 +210,20 @@
     candidates = list(eligible(work, job, key, step))
     if step.same_rack:
         candidates = minions_for_one_rack(work, job, key, candidates, len(indexes))
-    for index in indexes:
-        minion = best_minion(work, key, step, candidates)
+    for index in work.isolation.suspects_first(key, indexes):
+        task = TaskKey(*key, index)
+        admitted = work.isolation.admitted(work, task, step, candidates)
+        minion = best_minion(work, key, step, admitted)
+        if minion is None and work.table.crashes.suspicion(task):
+            continue
         if minion is None:
             policy = work.table.policy(job)
             if is_unrestricted(policy, step):
                 work.note_too_large(policy.pool, step)
             return
         work.take(key, step, minion)
-        yield Start(TaskKey(*key, index), minion.id)
+        work.isolation.note_start(task, step, minion)
+        yield Start(task, minion.id)
 
 
 def eligible(work, job, key, step):
--- a/hingepitch/jobs/roster.py
+++ b/hingepitch/jobs/roster.py
@@ -8,6 +8,8 @@
 :license: BSD, see LICENSE for details.
 """
 
+from hingepitch.jobs.crash import NO_BLAME
+
 __all__ = ["MinionRoster"]
 
 
@@ -18,8 +20,8 @@
         Function of a life and its clock, called for each new beat; set by
         the dispatcher.
     `on_crash`
-        Function of a life that another one on its VM has ended; set by the
-        dispatcher.
+        Function from a life that another one on its VM has ended to the
+        `Blame`; set by the dispatcher.
     `is_present`
         Function of a `Minion`: whether that life answers a call now; set by
         the dispatcher.
@@ -43,10 +45,9 @@
         self.sequence_by_minion[beat.minion.id] = beat.sequence
         return True
 
-    def tell_crash(self, life):
-        """Tell the dispatcher that another life on its VM ends `life`."""
-        if self.on_crash is not None:
-            self.on_crash(life)
+    def take_blame(self, life):
+        """Return the `Blame` for a life that another one on its VM has ended."""
+        return self.on_crash(life) if self.on_crash is not None else NO_BLAME
 
     def tell(self, minion_id, clock_ms):
         """Tell the dispatcher that a minion spoke."""
--- a/hingepitch/jobs/rule.py
+++ b/hingepitch/jobs/rule.py
@@ -159,12 +159,18 @@
 
 @apply_command.register
 def _(command: commands.RegisterMinion, state, envelope, index):
-    state.jobs.put_minion(command.minion, command.at_ms)
+    state.jobs.put_minion(command.minion, command.at_ms, command.blame)
 
 
 @apply_command.register
 def _(command: commands.RemoveMinion, state, envelope, index):
-    state.jobs.remove_minion(command.id, command.at_ms)
+    state.jobs.remove_minion(command.id, command.at_ms, command.blame)
+
+
+@apply_command.register
+def _(command: commands.SuspectLife, state, envelope, index):
+    if command.id in state.jobs.minion_by_id:
+        state.jobs.crashes.suspect(command.id, command.blame)
 
 
 @apply_command.register
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -16,6 +16,7 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.jobs import question as questions
+from hingepitch.jobs.blame import log_given_up
 from hingepitch.jobs.command import (
     AcceptJob,
     CancelJob,
@@ -24,6 +25,7 @@
     RegisterMinion,
     RemoveMinion,
 )
+from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.log import log_event
 from hingepitch.model.command import Envelope, Role
 
@@ -221,10 +223,7 @@
         if not self.roster.note(question):
             return
         if known != minion:
-            before = self.table.life_by_vm.get(minion.vm, minion.id)
-            if before != minion.id:
-                self.roster.tell_crash(before)
-            self.propose(Role.DISPATCHER, RegisterMinion(minion, wall_ms()))
+            self.register(minion)
             log_event(
                 "minion_registered",
                 minion=minion.id,
@@ -235,6 +234,13 @@
             )
         self.roster.tell(minion.id, question.clock_ms)
 
+    def register(self, minion):
+        """Record what a minion says of itself; a new life ends the one before."""
+        before = self.table.life_by_vm.get(minion.vm, minion.id)
+        blame = NO_BLAME if before == minion.id else self.roster.take_blame(before)
+        self.propose(Role.DISPATCHER, RegisterMinion(minion, wall_ms(), blame))
+        log_given_up(self.table, before, blame)
+
     def need_present(self, minion):
         """Refuse a life that would end another one and does not answer itself.
 
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -14,11 +14,19 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.agentbook import AgentBook
-from hingepitch.jobs.blame import NO_BLAME, blame_of
-from hingepitch.jobs.command import EndRuns, OpenRounds, RemoveMinion, StartRuns
+from hingepitch.jobs.blame import blame_of, log_crash, log_given_up, unseen_blame
+from hingepitch.jobs.command import (
+    EndRuns,
+    OpenRounds,
+    RemoveMinion,
+    StartRuns,
+    SuspectLife,
+)
 from hingepitch.jobs.contact import StartOrder
+from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
+from hingepitch.jobs.isolation import SuspectView, suspect_view
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveDesk
 from hingepitch.jobs.permission import PermissionDesk
@@ -53,9 +61,6 @@
 #: Pause between two looks that do not wait, in seconds.
 LOOK_PAUSE_SECONDS = 0.1
 
-#: Tasks that one log line names at most.
-LISTED_TASKS = 24
-
 
 class Session:
     """One leadership: what it may order, and what it has seen.
@@ -242,27 +247,37 @@
 
     def life_is_over(self, minion_id, reason):
         """Record that a life of a minion is over; return whether it is."""
+        if minion_id not in self.table.minion_by_id:
+            return True
         log_event("minion_removed", minion=minion_id, reason=reason)
-        self.note_crash(minion_id, self.blame(minion_id))
-        return self.propose(RemoveMinion(minion_id, wall_ms()))
+        blame = self.take_blame(minion_id)
+        is_over = self.propose(RemoveMinion(minion_id, wall_ms(), blame))
+        log_given_up(self.table, minion_id, blame)
+        return is_over
 
-    def blame(self, minion_id):
-        """Return the `Blame` if a life of a minion is over now, unplanned."""
+    def take_blame(self, minion_id):
+        """Return the `Blame` for a life that is over, logged and counted."""
         agent = self.agent_by_minion.get(minion_id)
-        return blame_of(agent) if agent is not None else NO_BLAME
-
-    def note_crash(self, minion_id, blame):
-        """Log and count a life that ended under its runs."""
-        if not blame.exposed:
-            return
-        self.gauge.note_crash(blame)
-        log_event(
-            "minion_crashed",
-            minion=minion_id,
-            runs=len(self.runs_of(minion_id)),
-            exposed=" ".join(map(format_task, blame.exposed[:LISTED_TASKS])),
-            starting=" ".join(map(format_task, blame.starting[:LISTED_TASKS])),
-        )
+        blame = self.blame(agent) if agent else unseen_blame(self.table, minion_id)
+        if blame.exposed:
+            self.gauge.note_crash(blame)
+            log_crash(minion_id, blame)
+        return blame
+
+    def blame(self, agent):
+        """Return the `Blame` if the life of an agent is over now, unplanned."""
+        return blame_of(agent, self.agent_by_minion.values(), wall_ms())
+
+    def suspect(self, agent):
+        """Record that a silent minion whose lease is over may have crashed."""
+        blame = self.blame(agent)
+        if blame.exposed:
+            self.propose(SuspectLife(agent.minion.id, blame))
+
+    def acquit(self, minion_id):
+        """Record that a minion that was taken to have crashed answers again."""
+        if minion_id in self.table.crashes.blame_by_life:
+            self.propose(SuspectLife(minion_id, NO_BLAME))
 
     def fenced(self, minion_id):
         """Stop giving orders: a minion has heard a later leader."""
@@ -421,6 +436,7 @@
             self.durations,
             self.terms.far_factor,
             self.rack_waited_ms(now),
+            suspect_view(self) if self.table.crashes else SuspectView(),
         )
 
     def rack_waited_ms(self, now):
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from hingepitch.jobs.command import RunEnd
+from hingepitch.jobs.crash import NO_BLAME, CrashBook, CrashRecord, LifeBlame
 from hingepitch.jobs.queue import QueueConfig, QueueIndex
 from hingepitch.jobs.record import (
     JobRecord,
@@ -43,6 +44,10 @@
 #: Lives of minions that are over and must not come back by a late message.
 MAX_ENDED_LIVES = 4096
 
+#: A task that lasts and ran for so long does not crash its minions, in
+#: milliseconds.
+PROVEN_MS = 10_000
+
 #: Job, round and step.
 StepKey = tuple[str, int, int]
 
@@ -80,6 +85,8 @@
     waves: list[Wave]
     ended_lives: list[str]
     moves: dict[str, str] = {}
+    crashes: list[CrashRecord] = []
+    silent_lives: list[LifeBlame] = []
 
 
 class JobTable:
@@ -101,6 +108,8 @@
         The pool to which a VM is being moved.
     `arrived_jobs`
         Jobs accepted since the leader last asked, the latest ones only.
+    `crashes`
+        The `CrashBook`.
     `has_had_work`
         Whether a job with tasks that end by themselves was seen.
     """
@@ -124,6 +133,7 @@
         self.touched_minions = set()
         self.pending_by_place = Counter()
         self.arrived_jobs = deque(maxlen=MAX_ARRIVED_JOBS)
+        self.crashes = CrashBook()
         self.has_had_work = False
 
     # Queues.
@@ -198,6 +208,7 @@
             self.index_round(job, number)
         job.round_by_number = {}
         self.repeated_jobs.pop(job.id, None)
+        self.crashes.forget_job(job.id)
         self.ended_jobs[job.id] = at_ms
         self.touched_minions.update(
             run.minion for run in self.run_by_task.values() if run.task.job == job.id
@@ -286,6 +297,7 @@
         if job is None or task is None or task.status is not TaskStatus.PLACED:
             return
         task.status = TaskStatus.WAITING
+        self.note_proven(job, run, at_ms)
         if end.checkpoint:
             self.keep_checkpoint(job, end)
         if end.result is RunResult.DONE:
@@ -296,6 +308,12 @@
             self.index_step(job, end.task.round, end.task.step)
             self.finish_job(job, at_ms)
 
+    def note_proven(self, job, run, at_ms):
+        """Forget the crashes under a task that lasts and was at work for long."""
+        step = job.spec.steps[run.task.step]
+        if step.lasts and at_ms - run.started_ms >= PROVEN_MS:
+            self.crashes.forget_task(run.task)
+
     def siblings(self, job, key):
         """Return the tasks that share the fate of `key`: its gang, or itself."""
         tasks = job.round_by_number[key.round].tasks_by_step[key.step]
@@ -311,6 +329,7 @@
         if job.spec.steps[end.task.step].lasts:
             return
         opened = job.round_by_number[end.task.round]
+        self.crashes.forget_task(end.task)
         for task in self.siblings(job, end.task):
             if task.run == end.number and task.status is not TaskStatus.DONE:
                 task.status = TaskStatus.DONE
@@ -343,7 +362,7 @@
 
     # Minions.
 
-    def put_minion(self, minion, at_ms):
+    def put_minion(self, minion, at_ms, blame=NO_BLAME):
         """Add a life of a minion; it ends the life before on the same VM."""
         if minion.id in self.ended_lives:
             return
@@ -356,7 +375,7 @@
             del self.life_by_vm[known.vm]
         before = self.life_by_vm.get(minion.vm)
         if before is not None and before != minion.id:
-            self.remove_minion(before, at_ms)
+            self.remove_minion(before, at_ms, blame)
         self.minion_by_id[minion.id] = minion
         self.life_by_vm[minion.vm] = minion.id
         if self.move_by_vm.get(minion.vm) == minion.pool:
@@ -364,11 +383,12 @@
         self.runs_by_minion.setdefault(minion.id, {})
         self.taken_by_minion.setdefault(minion.id, Room())
 
-    def remove_minion(self, life, at_ms):
-        """End a life of a minion, and all its runs."""
+    def remove_minion(self, life, at_ms, blame=NO_BLAME):
+        """End a life of a minion, and all its runs; count the crash under them."""
         minion = self.minion_by_id.pop(life, None)
         if minion is None:
             return
+        blames = (blame, self.crashes.acquit(life))
         for run in list(self.runs_by_minion.get(life, {}).values()):
             self.end_run(lost_end(run), at_ms)
         self.runs_by_minion.pop(life, None)
@@ -378,6 +398,20 @@
         self.ended_lives[life] = None
         while len(self.ended_lives) > MAX_ENDED_LIVES:
             del self.ended_lives[next(iter(self.ended_lives))]
+        for one in blames:
+            self.charge_crash(one, at_ms)
+
+    def charge_crash(self, blame, at_ms):
+        """Count a crash under the tasks of open jobs; give up those that did it.
+
+        Nothing else bounds how often a task is started that takes its minion
+        away: a lost run is no failure of the task, for most are lost by chance.
+        """
+        for key in blame.exposed:
+            if self.task(key) is None:
+                continue
+            if self.crashes.charge(key, blame).is_proof:
+                self.end_job(self.job_by_id[key.job], JobStatus.FAILED, at_ms)
 
     def vms_in_upkeep(self):
         """Return the VMs whose upkeep has begun and is not over."""
@@ -402,6 +436,7 @@
 
     def to_content(self):
         """Return what a snapshot holds."""
+        crashes, silent_lives = self.crashes.to_content()
         return TableContent(
             config=self.config,
             jobs=list(self.job_by_id.values()),
@@ -410,6 +445,8 @@
             waves=list(self.wave_by_number.values()),
             ended_lives=list(self.ended_lives),
             moves=self.move_by_vm,
+            crashes=crashes,
+            silent_lives=silent_lives,
         )
 
     @classmethod
@@ -429,6 +466,7 @@
         table.ended_jobs = {job.id: job.ended_ms for job in ended}
         for run in content.runs:
             table.add_run(run)
+        table.crashes = CrashBook.from_content(content.crashes, content.silent_lives)
         return table
 
     def restore_job(self, job):
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -61,6 +61,7 @@
     "minion_registered": "INFO",
     "minion_removed": "INFO",
     "minion_crashed": "WARNING",
+    "job_given_up": "WARNING",
     "minion_silent": "INFO",
     "minion_answers": "INFO",
     "minion_lapsed": "WARNING",
--- a/hingepitch/model/apply.py
+++ b/hingepitch/model/apply.py
@@ -177,6 +177,7 @@
         job_commands.EndRuns,
         job_commands.RegisterMinion,
         job_commands.RemoveMinion,
+        job_commands.SuspectLife,
         job_commands.BeginUpkeep,
         job_commands.SettleUpkeep,
         job_commands.BeginMove,
--- a/standin/taskminion.py
+++ b/standin/taskminion.py
@@ -71,14 +71,19 @@
         self.starts = []
         self.calls = []
         self.begin_life()
+        self.listen(0)
+        self.address = f"127.0.0.1:{self.server.server.server_port}"
+
+    def listen(self, port):
+        """Serve the calls at a port; 0: any free one."""
         api = falcon.App()
         for path in ("run-start", "run-stop", "hold", "pace"):
             suffix = path.replace("-", "_")
             api.add_route(f"/-/{path}", self, suffix=suffix)
         self.server = HttpServer("127.0.0.1:1", api)
-        self.server.server.set_listener(("127.0.0.1", 0))
+        self.server.server.set_listener(("127.0.0.1", port))
         self.server.start()
-        self.address = f"127.0.0.1:{self.server.server.server_port}"
+        self.is_up = True
 
     def begin_life(self):
         """Begin a life with nothing running and no fence seen."""
@@ -95,6 +100,16 @@
         """Crash, and come back as another life."""
         self.begin_life()
 
+    def crash(self, down_seconds):
+        """Crash: connections end, and another life is back after a while."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        port = self.server.server.server_port
+        self.server.stop()
+        self.begin_life()
+        gevent.spawn_later(down_seconds, self.listen, port)
+
     def close(self):
         """Stop the server."""
         self.server.stop()
--- /dev/null
+++ b/tests/crash_world.py
@@ -0,0 +1,260 @@
+"""A pool whose minions crash, under the real state machine and plan functions.
+
+Time is a hand-moved clock; agents are what blame and isolation ask of them.
+"""
+
+import itertools
+import random
+
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.blame import blame_of, is_proven, is_starting, unseen_blame
+from hingepitch.jobs.command import RunEnd
+from hingepitch.jobs.crash import NO_BLAME
+from hingepitch.jobs.isolation import SuspectView, suspect_view
+from hingepitch.jobs.plan import Outlook, plan_starts
+from hingepitch.jobs.record import JobStatus, RunResult
+from hingepitch.jobs.runview import RunView, RunViewStatus
+from hingepitch.jobs.spec import Step
+from tests.test_job_rules import Log, make_config, make_minion
+
+TICK_SECONDS = 0.01
+
+#: Time from a decision to the start on the minion, and until silence is noticed.
+ORDER_SECONDS = 0.005
+NOTICE_SECONDS = 0.01
+
+#: A silent minion's runs are over after so long, in seconds.
+LAPSE_SECONDS = 4.6
+
+LOOK_SECONDS = 0.6
+
+
+class WatchedLife:
+    """One life of a minion as a leader's agent would see it."""
+
+    def __init__(self, world, minion):
+        self.minion = minion
+        self.session = world
+        self.view_by_task = {}
+        self.heard_at = world.now
+        self.silent_since = 0.0
+        self.is_up = True
+        self.is_cut = False
+        self.has_lapsed = False
+
+    @property
+    def answers(self):
+        return self.is_up and not self.is_cut
+
+    def is_starting(self, run):
+        view = self.view_by_task.get(run.task)
+        return (
+            view is None or view.run is not run or is_starting(view, self.session.now)
+        )
+
+    def is_proven(self, run):
+        view = self.view_by_task.get(run.task)
+        step = self.session.step_of(run)
+        return view and step and is_proven(view, step, self.session.now)
+
+
+class CrashWorld:
+    """Minions, jobs, crashes by tasks and by chance; a session for its agents.
+
+    `crash_after`
+        Seconds from the start of a culprit to the crash, by its task.
+    `starts`
+        How often each task began on a minion.
+    """
+
+    def __init__(self, seed, minions=12):
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.log = Log()
+        self.log.send(commands.PutQueues(make_config()))
+        self.agent_by_minion = {}
+        self.crash_after = {}
+        self.starts = {}
+        self.accepted_at = {}
+        self.done_at = {}
+        self.events = []
+        self.order = itertools.count()
+        self.lives = itertools.count()
+        for number in range(minions):
+            self.register(number)
+
+    # What blame and isolation ask of a session.
+
+    @property
+    def table(self):
+        return self.log.table
+
+    def step_of(self, run):
+        job = self.table.job_by_id.get(run.task.job)
+        return job.spec.steps[run.task.step] if job and job.is_open else None
+
+    def runs_of(self, life):
+        return self.table.runs_by_minion.get(life, {})
+
+    # Time.
+
+    @property
+    def now_ms(self):
+        return int(self.now * 1000)
+
+    def later(self, seconds, function, *arguments):
+        event = (self.now + seconds, next(self.order), function, arguments)
+        self.events.append(event)
+
+    def run(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += TICK_SECONDS
+            due = sorted(event[:2] for event in self.events if event[0] <= self.now)
+            ready = {event[:2]: event for event in self.events if event[0] <= self.now}
+            self.events = [event for event in self.events if event[0] > self.now]
+            for key in due:
+                _, _, function, arguments = ready[key]
+                function(*arguments)
+            self.look()
+            self.plan()
+
+    def look(self):
+        for agent in self.agent_by_minion.values():
+            if agent.answers and self.now - agent.heard_at > LOOK_SECONDS:
+                agent.heard_at = self.now
+
+    # Jobs.
+
+    def submit(self, job, *steps, **times):
+        assert self.log.submit(*steps, job=job, at_ms=self.now_ms, **times) == ""
+        self.accepted_at[job] = self.now
+
+    def plan(self):
+        if not self.table.ready_steps:
+            return
+        usable = {life for life, one in self.agent_by_minion.items() if one.answers}
+        view = suspect_view(self) if self.table.crashes else SuspectView()
+        outlook = Outlook(self.now_ms, usable, suspects=view)
+        starts, gangs = plan_starts(self.table, outlook)
+        if not starts and not gangs:
+            return
+        self.log.send(commands.StartRuns(starts, gangs, self.now_ms))
+        for start in (*starts, *itertools.chain(*gangs)):
+            run = self.table.run_by_task.get(start.task)
+            if run is not None and run.minion == start.minion:
+                view = RunView(run, RunViewStatus.ORDERED)
+                self.agent_by_minion[run.minion].view_by_task[run.task] = view
+                self.later(ORDER_SECONDS, self.begin, run, view)
+
+    def begin(self, run, view):
+        agent = self.agent_by_minion.get(run.minion)
+        if agent is None or not agent.answers:
+            return
+        self.starts[run.task] = self.starts.get(run.task, 0) + 1
+        agent.heard_at = self.now
+        view.status = RunViewStatus.RUNNING
+        view.note_begun(self.now)
+        if run.task in self.crash_after:
+            self.later(self.crash_after[run.task], self.crash, run.minion)
+        step = self.step_of(run)
+        if step is not None and not step.lasts:
+            self.later(step.estimate_ms / 1000, self.finish, run)
+
+    def finish(self, run):
+        agent = self.agent_by_minion.get(run.minion)
+        if agent is None or not agent.answers:
+            return
+        agent.heard_at = self.now
+        agent.view_by_task.pop(run.task, None)
+        self.end(run, RunResult.DONE)
+        job = self.table.job_by_id[run.task.job]
+        if job.status is JobStatus.SUCCEEDED:
+            self.done_at.setdefault(job.id, self.now)
+
+    def end(self, run, result):
+        one = RunEnd(run.task, run.number, run.minion, result)
+        self.log.send(commands.EndRuns((one,), self.now_ms))
+
+    # Minions.
+
+    def register(self, number):
+        """Let a minion come as a new life; the one before is over."""
+        record = make_minion(number, id=f"i-{next(self.lives)}", cpu_millicores=16_000)
+        before = self.table.life_by_vm.get(record.vm)
+        blame = NO_BLAME if before is None else self.blame(before)
+        self.log.send(commands.RegisterMinion(record, self.now_ms, blame))
+        self.agent_by_minion.pop(before, None)
+        self.agent_by_minion[record.id] = WatchedLife(self, record)
+
+    def blame(self, life):
+        agent = self.agent_by_minion.get(life)
+        if agent is None:
+            return unseen_blame(self.table, life)
+        return blame_of(agent, self.agent_by_minion.values(), self.now_ms)
+
+    def crash(self, life, down_seconds=None):
+        """Crash a life, if it is still up; it is back as another one."""
+        agent = self.agent_by_minion.get(life)
+        if agent is None or not agent.is_up:
+            return
+        agent.is_up = False
+        self.later(NOTICE_SECONDS, self.fall_silent, agent)
+        down = down_seconds or self.random.uniform(2.0, 6.0)
+        self.later(down, self.register, int(agent.minion.vm.split("-")[1]))
+
+    def cut(self, life, seconds):
+        """Cut a life off for a while; it runs on."""
+        agent = self.agent_by_minion[life]
+        agent.is_cut = True
+        self.later(NOTICE_SECONDS, self.fall_silent, agent)
+        self.later(seconds, self.heal, agent)
+
+    def heal(self, agent):
+        agent.is_cut = False
+        if not agent.is_up:
+            return
+        agent.heard_at = self.now
+        life = agent.minion.id
+        if life in self.table.crashes.blame_by_life:
+            self.log.send(commands.SuspectLife(life, NO_BLAME))
+        for view in list(agent.view_by_task.values()):
+            agent.view_by_task.pop(view.run.task)
+            self.end(view.run, RunResult.LAPSED)
+
+    def fall_silent(self, agent):
+        agent.silent_since = self.now
+        self.later(LAPSE_SECONDS, self.lapse, agent)
+
+    def lapse(self, agent):
+        life = agent.minion.id
+        if agent.answers or life not in self.agent_by_minion:
+            return
+        self.log.send(commands.SuspectLife(life, self.blame(life)))
+        for run in list(self.runs_of(life).values()):
+            self.end(run, RunResult.LOST)
+        agent.view_by_task.clear()
+
+    def change_leader(self):
+        """Let another leader take over: it has watched nobody yet."""
+        for agent in self.agent_by_minion.values():
+            for view in agent.view_by_task.values():
+                view.begun_at = self.now if agent.answers else 0.0
+            if not agent.answers:
+                agent.heard_at = 0.0
+                agent.silent_since = self.now
+
+    # What tests ask.
+
+    def status(self, job):
+        return self.table.job_by_id[job].status
+
+    def submit_mix(self, count, prefix="b"):
+        """Submit jobs of several shapes; return their ids."""
+        jobs = [f"{prefix}{number:015x}" for number in range(count)]
+        for job in jobs:
+            count = self.random.randint(1, 6)
+            step = Step(count, 1000, 100, estimate_ms=self.random.randint(200, 1700))
+            self.submit(job, step, Step(2, 500, 50, estimate_ms=300, after=(0,)))
+        return jobs
--- a/tests/test_crashing_task.py
+++ b/tests/test_crashing_task.py
@@ -25,6 +25,9 @@
 #: A minion crashes so soon after the start of a task that does it, in seconds.
 CRASH_SECONDS = 0.01
 
+#: How long a minion is away after a crash, in seconds.
+DOWN_SECONDS = 0.5
+
 BEAT_SECONDS = 0.1
 SECONDS = 30
 
@@ -44,12 +47,12 @@
     def start_run(self, body):
         status, fields = super().start_run(body)
         if status == 200 and body["task"] in self.pool.crashing:
-            gevent.spawn_later(CRASH_SECONDS, self.crash, self.life, body["task"])
+            gevent.spawn_later(CRASH_SECONDS, self.crash_under, self.life, body["task"])
         return status, fields
 
-    def crash(self, life, name=""):
+    def crash_under(self, life, name):
         if life == self.life:
-            self.restart()
+            self.crash(DOWN_SECONDS)
             self.pool.break_gang(name)
 
 
@@ -68,6 +71,8 @@
     def beat(self):
         while True:
             for number, minion in enumerate(self.minions):
+                if not minion.is_up:
+                    continue
                 minion.sequence += 1
                 record = make_minion(
                     number,
@@ -173,6 +178,19 @@
     assert here.status_of(JOB) is JobStatus.FAILED
 
 
+def test_those_beside_it_are_not_given_up(pool):
+    here = pool(minions=3)
+    here.crashing.add(format_task(task(index=0)))
+    for job in OTHER_JOBS:
+        here.log.submit(Step(4), Step(2, after=(0,)), job=job)
+    here.submit(Step(3))
+    assert give_up(here, task(index=0)) <= MOST_STARTS
+    for job in OTHER_JOBS:
+        assert wait_until(
+            lambda one=job: here.status_of(one) is JobStatus.SUCCEEDED, SECONDS
+        )
+
+
 def test_nothing_is_given_up_because_minions_crash_by_chance(pool):
     here = pool(task_seconds=0.4)
     for job in OTHER_JOBS:
@@ -181,7 +199,7 @@
     for _ in range(4):
         assert wait_until(lambda: any(one.running for one in here.minions), SECONDS)
         for minion in here.minions[:3]:
-            minion.crash(minion.life)
+            minion.crash(DOWN_SECONDS)
         before = sum(len(one.starts) for one in here.minions)
         assert wait_until(
             lambda n=before: sum(len(one.starts) for one in here.minions) > n, SECONDS
