A VM that crashes under whatever it starts is not a task's fault

A task whose two crashes alone came from lives of one VM was given up though the VM may be to blame. Crashes alone count once a VM, and a suspect goes to another VM where there is one; the bound of five in all stays.

--- a/hingepitch/jobs/crash.py
+++ b/hingepitch/jobs/crash.py
@@ -81,12 +81,16 @@
         Crashes soon after it was started there.
     `alone`
         Crashes that nothing else on the minion can have caused.
+    `vms`
+        The VMs of these: one that crashes under whatever it starts is to blame
+        itself, and counts once.
     """
 
     task: TaskKey
     crashes: int = 0
     at_start: int = 0
     alone: int = 0
+    vms: tuple[str, ...] = ()
 
     @property
     def is_proof(self):
@@ -136,19 +140,25 @@
             return Suspicion.STARTING
         return Suspicion.NONE
 
+    def crashed_vms(self, task):
+        """Return the VMs whose minions crashed under a task and nothing else."""
+        return (self.record(task) or NO_CRASHES).vms
+
     def suspects(self, job_id):
         """Yield the tasks of a job that are under suspicion."""
         tasks = {*self.by_job.get(job_id, ())}
         tasks |= {task for task in self.silent_exposed if task.job == job_id}
         return (task for task in tasks if self.suspicion(task))
 
-    def charge(self, task, blame):
-        """Count a crash under a task; return its `CrashRecord`."""
+    def charge(self, task, blame, vm):
+        """Count a crash of a minion on `vm` under a task; return its record."""
         records = self.by_job.setdefault(task.job, {})
         record = records.setdefault(task, CrashRecord(task))
         record.crashes += 1
         record.at_start += task in blame.starting
-        record.alone += task in blame.alone
+        if task in blame.alone and vm not in record.vms:
+            record.alone += 1
+            record.vms += (vm,)
         return record
 
     def forget_task(self, task):
--- a/hingepitch/jobs/isolation.py
+++ b/hingepitch/jobs/isolation.py
@@ -122,12 +122,14 @@
         if gang is None and key.job in self.view.starting_jobs:
             return []
         taken = self.view.starting | self.view.held
-        return [
+        settled = [
             minion
             for minion in candidates
             if minion.id not in taken
             or (gang and self.gang_by_minion.get(minion.id) == gang)
         ]
+        crashed = self.crashes.crashed_vms(key)
+        return [one for one in settled if one.vm not in crashed] or settled
 
     def reserved(self, work, pool):
         """Return the lives of a pool that are kept free for its suspects.
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -399,9 +399,9 @@
         while len(self.ended_lives) > MAX_ENDED_LIVES:
             del self.ended_lives[next(iter(self.ended_lives))]
         for one in blames:
-            self.charge_crash(one, at_ms)
+            self.charge_crash(one, minion.vm, at_ms)
 
-    def charge_crash(self, blame, at_ms):
+    def charge_crash(self, blame, vm, at_ms):
         """Count a crash under the tasks of open jobs; give up those that did it.
 
         Nothing else bounds how often a task is started that takes its minion
@@ -410,7 +410,7 @@
         for key in blame.exposed:
             if self.task(key) is None:
                 continue
-            if self.crashes.charge(key, blame).is_proof:
+            if self.crashes.charge(key, blame, vm).is_proof:
                 self.end_job(self.job_by_id[key.job], JobStatus.FAILED, at_ms)
 
     def vms_in_upkeep(self):
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -63,6 +63,8 @@
 
     `crash_after`
         Seconds from the start of a culprit to the crash, by its task.
+    `sick_vms`
+        VMs that crash under whatever they start.
     `starts`
         How often each task began on a minion.
     """
@@ -74,6 +76,7 @@
         self.log.send(commands.PutQueues(make_config()))
         self.agent_by_minion = {}
         self.crash_after = {}
+        self.sick_vms = set()
         self.starts = {}
         self.accepted_at = {}
         self.done_at = {}
@@ -158,6 +161,8 @@
         view.note_begun(self.now)
         if run.task in self.crash_after:
             self.later(self.crash_after[run.task], self.crash, run.minion)
+        if agent.minion.vm in self.sick_vms:
+            self.later(2 * TICK_SECONDS, self.crash, run.minion)
         step = self.step_of(run)
         if step is not None and not step.lasts:
             self.later(step.estimate_ms / 1000, self.finish, run)
--- /dev/null
+++ b/tests/test_crash_book.py
@@ -0,0 +1,120 @@
+"""What the log remembers of crashes: bounded, kept in snapshots, and taken back."""
+
+import msgspec
+import pytest
+
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.crash import MAX_SILENT_LIVES, Blame, CrashBook, Suspicion
+from hingepitch.jobs.record import JobStatus, RunResult
+from hingepitch.jobs.spec import Step
+from hingepitch.jobs.table import JobTable, TableContent
+from tests.test_job_rules import JOB, Log, make_config, make_minion, task
+
+CULPRIT = task(index=1)
+ALONE = Blame((CULPRIT,), (CULPRIT,), (CULPRIT,))
+CROWD = Blame((CULPRIT, task()), (CULPRIT, task()))
+
+
+@pytest.fixture
+def log():
+    made = Log()
+    made.send(commands.PutQueues(make_config()))
+    for number in range(3):
+        made.send(commands.RegisterMinion(make_minion(number), 0))
+    made.submit(Step(3))
+    return made
+
+
+def crash(log, number, life, blame):
+    """Let a minion come back as another life; return its life."""
+    fresh = make_minion(number, id=life)
+    log.send(commands.RegisterMinion(fresh, 1000, blame))
+
+
+def renewed(log):
+    """Let the table be what a snapshot of it holds."""
+    data = msgspec.msgpack.encode(log.table.to_content())
+    content = msgspec.msgpack.decode(data, type=TableContent)
+    log.state.jobs = JobTable.from_content(content)
+
+
+def test_two_crashes_that_nothing_else_can_have_caused_are_proof(log):
+    crash(log, 0, "a", ALONE)
+    renewed(log)
+    assert log.status is not JobStatus.FAILED
+    crash(log, 1, "b", ALONE)
+    assert log.status is JobStatus.FAILED
+    assert not log.table.crashes
+
+
+def test_a_vm_that_crashes_again_and_again_is_no_proof(log):
+    for life in "abcd":
+        crash(log, 0, life, ALONE)
+    assert log.status is not JobStatus.FAILED
+
+
+def test_crashes_beside_others_isolate_and_end_by_the_bound_in_all(log):
+    seen = []
+    for life in "abcde":
+        seen.append(log.table.crashes.suspicion(CULPRIT))
+        crash(log, 0, life, CROWD)
+        renewed(log)
+    starting, running = Suspicion.STARTING, Suspicion.RUNNING
+    assert seen == [Suspicion.NONE, starting, starting, running, running]
+    assert log.status is JobStatus.FAILED
+
+
+def test_a_planned_end_is_no_crash(log):
+    for number in range(3):
+        log.send(commands.RemoveMinion(f"i-{number}", 1000))
+    assert not log.table.crashes
+
+
+def test_a_silent_life_counts_until_it_answers_again(log):
+    log.send(commands.SuspectLife("i-0", CROWD))
+    renewed(log)
+    assert log.table.crashes.suspicion(CULPRIT) is Suspicion.STARTING
+    log.send(commands.SuspectLife("i-0", Blame()))
+    assert log.table.crashes.suspicion(CULPRIT) is Suspicion.NONE
+    assert not log.table.crashes
+
+
+def test_a_silent_life_that_is_over_counts_once(log):
+    log.send(commands.SuspectLife("i-0", CROWD))
+    crash(log, 0, "a", Blame())
+    assert log.table.crashes.record(CULPRIT).crashes == 1
+    assert not log.table.crashes.blame_by_life
+
+
+def test_a_task_waits_while_silent_lives_would_exceed_its_bound(log):
+    for life in "abc":
+        crash(log, 0, life, CROWD)
+    log.send(commands.SuspectLife("i-1", CROWD))
+    log.send(commands.SuspectLife("i-2", CROWD))
+    assert log.table.crashes.suspicion(CULPRIT) is Suspicion.BARRED
+    assert log.status is not JobStatus.FAILED
+
+
+def test_a_task_that_ended_well_is_forgotten(log):
+    crash(log, 0, "a", CROWD)
+    log.start(CULPRIT, task(), minion="i-1")
+    log.end(CULPRIT, RunResult.DONE)
+    assert log.table.crashes.record(CULPRIT) is None
+    assert log.table.crashes.record(task()) is not None
+    log.send(commands.CancelJob(JOB, 2000))
+    assert not log.table.crashes
+
+
+def test_lives_that_stay_silent_are_remembered_within_a_bound():
+    book = CrashBook()
+    for number in range(MAX_SILENT_LIVES + 10):
+        book.suspect(f"i-{number}", CROWD)
+    assert len(book.blame_by_life) == MAX_SILENT_LIVES
+    assert book.silent_exposed[CULPRIT] == MAX_SILENT_LIVES
+
+
+def test_a_snapshot_of_before_crashes_were_counted_is_read(log):
+    content = msgspec.to_builtins(log.table.to_content())
+    del content["crashes"], content["silent_lives"]
+    read = msgspec.convert(content, TableContent)
+    assert not JobTable.from_content(read).crashes
--- a/tests/test_load_crashing_tasks.py
+++ b/tests/test_load_crashing_tasks.py
@@ -89,3 +89,11 @@
     world.run(40.0)
     assert [job for job in others if world.status(job) is not JobStatus.SUCCEEDED] == []
     assert world.status(lasting) is JobStatus.RUNNING
+
+
+def test_a_vm_that_crashes_under_whatever_it_starts_fails_no_job():
+    world = CrashWorld(1, minions=3)
+    world.sick_vms.add("vm-1")
+    others = world.submit_mix(20)
+    world.run(60.0)
+    assert all(world.status(job) is JobStatus.SUCCEEDED for job in others)
