Nothing starts over a room that has shrunk since the start was decided

A minion that shows less room was sent the starts that waited for their turn from before, and a report that a cut had held back gave it its old room again under a new leader, which knows no sequence numbers. Cause: room was compared when a run is recorded and not when its order goes out; the last sequence number was in the leader's memory only. The order compares again, and a record carries the number of the report that told it, so an older one changes nothing.

--- a/hingepitch/jobs/record.py
+++ b/hingepitch/jobs/record.py
@@ -161,6 +161,8 @@
         The VM it runs on; a VM has one life at a time.
     `address`
         `IP:port` of its API.
+    `sequence`
+        Which of its reports told this; a repetition of the same is no change.
     """
 
     id: str
@@ -174,6 +176,7 @@
     memory_mb: int
     accelerators: int
     is_draining: bool = False
+    sequence: int = field(default=0, compare=False)
 
     @property
     def kind(self):
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -9,6 +9,7 @@
 """
 
 import time
+from dataclasses import replace
 from functools import singledispatchmethod
 
 from gevent.event import AsyncResult
@@ -212,10 +213,12 @@
     def _(self, question: questions.NoteBeat):
         if not self.replica.is_leader:
             raise HingepitchError("not_leader")
-        minion = question.minion
+        minion = replace(question.minion, sequence=question.sequence)
         known = self.table.minion_by_id.get(minion.id)
         if minion.id in self.table.ended_lives:
             return
+        if known is not None and minion.sequence < known.sequence:
+            return
         if known is None or known.pool != minion.pool:
             self.need_pool(minion)
         if known is None:
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -167,6 +167,9 @@
         task = self.table.task(run.task)
         if minion is None or minion.is_draining or task is None:
             return None
+        # Its room may have shrunk since this was decided.
+        if self.table.taken_by_minion[run.minion].exceeds(minion):
+            return None
         step_key = run.task[:3]
         ticket = self.permissions.ticket(step_key, run.minion)
         if ticket is None and self.permissions.advice_of(step_key) is not None:
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -74,6 +74,14 @@
             and self.accelerators + step.accelerators <= minion.accelerators
         )
 
+    def exceeds(self, minion):
+        """Whether the runs take more than `minion` has now."""
+        return (
+            self.cpu_millicores > minion.cpu_millicores
+            or self.memory_mb > minion.memory_mb
+            or self.accelerators > minion.accelerators
+        )
+
 
 class TableContent(msgspec.Struct):
     """What a snapshot holds of a `JobTable`."""
@@ -367,6 +375,9 @@
         if minion.id in self.ended_lives:
             return
         known = self.minion_by_id.get(minion.id)
+        if known is not None and minion.sequence < known.sequence:
+            # Held back on its way: its room may have shrunk since.
+            return
         if known is not None and known.is_draining:
             # Final for a life: a message that says otherwise was held back.
             minion = replace(minion, is_draining=True)
