Tasks that end at once or stand still everywhere are repeated ever more rarely

Found by looking for the incident's class elsewhere, repetition without a memory. A task that stands still on each minion was stopped and moved every few seconds for ever; from the fourth stop on it is given twice as long each time. Both counts are the leader's, so another leader repeats each a few times more. Both tests were red before (135 starts; a fourth start with the same patience).

--- a/hingepitch/jobs/health.py
+++ b/hingepitch/jobs/health.py
@@ -32,10 +32,14 @@
 HUNG_GANG_SECONDS = 4.5
 
 
-def is_hung(row_since, looked_at, gang=False):
-    """Whether progress seen last at `row_since` had not moved at `looked_at`."""
+def is_hung(row_since, looked_at, gang=False, patience=1):
+    """Whether progress seen last at `row_since` had not moved at `looked_at`.
+
+    `patience`
+        How many times as long as usual it may stand still.
+    """
     limit = HUNG_GANG_SECONDS if gang else HUNG_SECONDS
-    return looked_at - row_since > limit
+    return looked_at - row_since > patience * limit
 
 
 @dataclass(slots=True)
--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -41,6 +41,8 @@
         How long steps have waited that want one rack.
     `suspects`
         Where tasks run that may crash their minions.
+    `paused`
+        Tasks that are not to be started yet.
     """
 
     now_ms: int
@@ -51,6 +53,7 @@
     far_factor: float = 2.0
     rack_waited_ms_by_step: dict[tuple, float] = field(default_factory=dict)
     suspects: SuspectView = field(default_factory=SuspectView)
+    paused: set[TaskKey] = field(default_factory=set)
 
 
 @dataclass
@@ -192,6 +195,7 @@
         for index, task in enumerate(tasks)
         if task.status is TaskStatus.WAITING
         and TaskKey(*key, index) not in work.table.run_by_task
+        and TaskKey(*key, index) not in work.outlook.paused
     ]
     if step.gang and len(waiting) < step.count:
         return
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -32,6 +32,7 @@
 from hingepitch.jobs.permission import PermissionDesk
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.record import RunResult
+from hingepitch.jobs.restart import RestartBook
 from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.spec import format_task
@@ -79,6 +80,8 @@
         The `Metrics` of the process.
     `has_failed`
         Whether a fault of the program ended the session.
+    `restarts`
+        The tasks that last and ended as soon as they were started.
     `rack_waits`
         Since when steps wait that want one rack, as this leadership saw it.
     """
@@ -102,6 +105,7 @@
         self.greenlets = set()
         self.woken = Event()
         self.rack_waits = {}
+        self.restarts = RestartBook()
         self.gather_seconds = GATHER_SECONDS
         self.inherited = {
             (run.task, run.number) for run in self.table.run_by_task.values()
@@ -220,6 +224,7 @@
         at_ms = wall_ms()
         for end in ends:
             self.note_duration(end, at_ms)
+            self.note_restart(end, at_ms)
         if not self.propose(EndRuns(ends, at_ms)):
             return False
         self.gauge.note_ends(ends, at_ms)
@@ -234,6 +239,14 @@
             )
         return True
 
+    def note_restart(self, end, at_ms):
+        """Note a task that lasts and ended by itself: it starts again."""
+        run = self.table.run_by_task.get(end.task)
+        step = run and self.step_of(run)
+        if step and step.lasts and end.result in (RunResult.DONE, RunResult.FAILED):
+            ran_seconds = (at_ms - run.started_ms) / 1000
+            self.restarts.note_end(end.task, ran_seconds, lease_seconds())
+
     def note_duration(self, end, at_ms):
         """Learn how long a task took that ran from its beginning to its end.
 
@@ -440,6 +453,7 @@
             self.terms.far_factor,
             self.rack_waited_ms(now),
             suspect_view(self) if self.table.crashes else SuspectView(),
+            self.restarts.paused(now),
         )
 
     def rack_waited_ms(self, now):
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -42,6 +42,15 @@
 UPKEEP_REASON = "upkeep"
 
 
+#: From so many stops because it stood still on, a task is given twice as long
+#: each time, up to so many doublings.
+MAX_STALLS = 4
+MOST_DOUBLINGS = 5
+
+#: Tasks that stood still are remembered, the latest ones.
+MAX_STALLED_TASKS = 4096
+
+
 class RunWatch:
     """Judges the runs and the minions of one leadership.
 
@@ -50,11 +59,14 @@
     `evacuated`
         Why runs are being stopped so that they go on elsewhere, by task and
         number.
+    `stalls_by_task`
+        How often a task was stopped because it stood still, the latest ones.
     """
 
     def __init__(self, session):
         self.session = session
         self.evacuated = {}
+        self.stalls_by_task = {}
 
     def evacuate(self, run, reason):
         """Stop a run so that it goes on elsewhere."""
@@ -184,12 +196,29 @@
                 continue
             if step.fills_spare_cpu:
                 continue
-            if not is_hung(view.row_since, agent.looks.looked_at, step.gang):
+            patience = self.patience(view.run.task)
+            if not is_hung(view.row_since, agent.looks.looked_at, step.gang, patience):
                 continue
             if self.session.is_wanted(view.run):
+                self.note_stall(view.run.task)
                 agent.health.note_trouble(view.run.task.job, lease_seconds())
                 self.evacuate(view.run, "stands still")
 
+    def note_stall(self, task):
+        """Count that a task is stopped because it stands still."""
+        self.stalls_by_task[task] = self.stalls_by_task.pop(task, 0) + 1
+        while len(self.stalls_by_task) > MAX_STALLED_TASKS:
+            del self.stalls_by_task[next(iter(self.stalls_by_task))]
+
+    def patience(self, task):
+        """Return how many times as long as usual a task may stand still.
+
+        One that stands still wherever it runs is stopped ever more rarely: it
+        would be started again and again, and nothing of it kept.
+        """
+        doublings = self.stalls_by_task.get(task, 0) - MAX_STALLS
+        return 2 ** min(max(0, doublings), MOST_DOUBLINGS)
+
     def pace_fillers(self, agent):
         """Pace the fillers of a minion by its tasks that serve."""
         fillers = self.fillers(agent)
--- /dev/null
+++ b/tests/test_repetition.py
@@ -0,0 +1,69 @@
+"""What is repeated for a task has a bound or a growing pause.
+
+Found while looking for the cause of tasks that crash minions elsewhere: a task
+that lasts and ends at once was started again some hundred times a second, and one
+that stands still wherever it runs was stopped and moved every few seconds.
+"""
+
+import gevent
+
+from hingepitch.httpd import wait_until
+from hingepitch.jobs import health as health_module, watch as watch_module
+from hingepitch.jobs.restart import MAX_TASKS, RestartBook, pause_seconds
+from hingepitch.jobs.spec import Step
+from standin.taskminion import TaskMinion
+from tests.test_dispatch import SECONDS, rig
+from tests.test_job_rules import task
+
+__all__ = ["rig"]
+
+
+def test_a_lasting_task_that_ends_at_once_is_started_ever_more_rarely(rig):
+    minion = TaskMinion(task_seconds=0.01)
+    here = rig(minion)
+    here.submit(Step(1, lasts=True))
+    assert wait_until(lambda: len(minion.starts) > 1, SECONDS)
+    gevent.sleep(2.0)
+    assert len(minion.starts) <= 8
+    minion.task_seconds = None
+    assert wait_until(lambda: minion.running, SECONDS)
+
+
+def test_the_pause_grows_to_a_bound_and_ends_with_a_long_run():
+    pauses = [pause_seconds(ends) for ends in range(1, 40)]
+    assert pauses[0] == 0
+    assert pauses == sorted(pauses)
+    assert pauses[-1] <= 2.0
+    book = RestartBook()
+    for now in range(3):
+        book.note_end(task(), 0.1, now)
+    assert book.paused(2.0) == {task()}
+    book.note_end(task(), 5.0, 7.0)
+    assert not book.paused(7.0)
+
+
+def test_the_tasks_that_are_remembered_are_bounded():
+    book = RestartBook()
+    for index in range(MAX_TASKS + 5):
+        book.note_end(task(index=index), 0.1, index)
+    assert len(book.pause_by_task) == MAX_TASKS
+
+
+def test_a_task_that_stands_still_everywhere_is_moved_ever_more_rarely(
+    rig, monkeypatch
+):
+    monkeypatch.setattr(health_module, "HUNG_SECONDS", 0.3)
+    monkeypatch.setattr(health_module, "SICK_FROM", 100)
+    monkeypatch.setattr(watch_module, "MAX_STALLS", 2)
+    minions = [TaskMinion() for _ in range(3)]
+    here = rig(*minions)
+    here.submit(Step(1))
+
+    def starts():
+        return sum(len(one.starts) for one in minions)
+
+    assert wait_until(lambda: starts() == 4, SECONDS)
+    watch = here.dispatcher.session.watch
+    assert [watch.patience(task()) for _ in range(2)] == [2, 2]
+    assert wait_until(lambda: starts() == 5, SECONDS)
+    assert watch.patience(task()) == 4
