One module reads the clocks; what a suspended machine may do is shown

A machine that was suspended must not act on a lease that ran out meanwhile. Leases were judged by CLOCK_BOOTTIME already; the operators' client, the log's limit and the metrics read steady clocks of their own. All ask hingepitch.clock now, and a test finds any other reading.

--- a/hingepitch/admin/client.py
+++ b/hingepitch/admin/client.py
@@ -12,6 +12,7 @@
 import uuid
 
 from hingepitch import group
+from hingepitch.clock import lease_seconds
 from hingepitch.error import ERROR_BY_CODE, HingepitchError
 from hingepitch.jsoncall import call_json
 from hingepitch.setting import Address, Settings
@@ -67,14 +68,14 @@
 
         A command may be sent many times: its id makes it count once.
         """
-        deadline = time.monotonic() + GIVE_UP_SECONDS
+        deadline = lease_seconds() + GIVE_UP_SECONDS
         while True:
             addresses = self.settings.control
             address = addresses[self.preferred % len(addresses)]
             try:
                 return self.call_at(address, method, path, body)
             except HingepitchError as error:
-                if error.code not in PASSING_CODES or time.monotonic() > deadline:
+                if error.code not in PASSING_CODES or lease_seconds() > deadline:
                     raise
             self.preferred += 1
             time.sleep(PAUSE_SECONDS)
@@ -86,8 +87,8 @@
 
     def wait_in_force(self, version, seconds=10.0):
         """Wait until `version` is in force everywhere; return whether it is."""
-        deadline = time.monotonic() + seconds
-        while (left := deadline - time.monotonic()) > 0:
+        deadline = lease_seconds() + seconds
+        while (left := deadline - lease_seconds()) > 0:
             wait_ms = int(min(left, WAIT_SECONDS) * 1000)
             path = f"/v1/in-force/{version}?wait_ms={wait_ms}"
             if self.call("GET", path)["in_force"]:
--- a/hingepitch/clock.py
+++ b/hingepitch/clock.py
@@ -2,7 +2,9 @@
 hingepitch.clock
 ~~~~~~~~~~~~~~~~
 
-Clocks: one for leases, one for people.
+Clocks: one for leases, one for people. Everything that must know how much
+time has passed asks here: the timers of the loop stand still while a machine
+is suspended, and are no proof of it.
 
 :copyright: Copyright 2026 by the hingepitch maintainers.
 :license: BSD, see LICENSE for details.
@@ -10,7 +12,7 @@
 
 import time
 
-__all__ = ["lease_seconds", "wall_seconds"]
+__all__ = ["lease_seconds", "wall_ms", "wall_seconds"]
 
 
 def lease_seconds():
@@ -18,6 +20,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def wall_ms():
+    """Milliseconds since the epoch; for records and due times."""
+    return time.time_ns() // 1_000_000
+
+
 def wall_seconds():
     """Seconds since the epoch, as an integer; for records, never for leases."""
     return int(time.time())
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -10,10 +10,10 @@
 
 from collections import Counter
 
+from hingepitch.clock import wall_ms
 from hingepitch.jobs.contact import ReplyKind
 from hingepitch.jobs.record import TaskStatus
 from hingepitch.jobs.runview import RunViewStatus
-from hingepitch.jobs.service import wall_ms
 
 __all__ = ["DispatchGauge"]
 
--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -13,13 +13,12 @@
 import gevent
 from gevent.event import Event
 
-from hingepitch.clock import lease_seconds
+from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.jobs.command import BeginMove, EndMove, RemoveMinion
 from hingepitch.jobs.demand import Demand
 from hingepitch.jobs.fleet import FleetReply, VmState
 from hingepitch.jobs.load import PoolLoad
 from hingepitch.jobs.pool import IdleVm, PoolView, plan_moves
-from hingepitch.jobs.service import wall_ms
 from hingepitch.log import log_event
 
 __all__ = ["MoveDesk"]
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -8,13 +8,12 @@
 :license: BSD, see LICENSE for details.
 """
 
-import time
 from dataclasses import replace
 from functools import singledispatchmethod
 
 from gevent.event import AsyncResult
 
-from hingepitch.clock import lease_seconds
+from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.error import HingepitchError
 from hingepitch.jobs import question as questions
 from hingepitch.jobs.blame import log_given_up
@@ -30,7 +29,7 @@
 from hingepitch.log import log_event
 from hingepitch.model.command import Envelope, Role
 
-__all__ = ["JobService", "wall_ms"]
+__all__ = ["JobService"]
 
 #: How soon a refused caller may come back. Source: a new leader is there
 #: within about a second.
@@ -41,11 +40,6 @@
 PENDING_AGE_SECONDS = 1.0
 
 
-def wall_ms():
-    """Milliseconds since the epoch; for records and due times."""
-    return time.time_ns() // 1_000_000
-
-
 class JobService:
     """The leader's answers.
 
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -11,7 +11,7 @@
 import gevent
 from gevent.event import Event
 
-from hingepitch.clock import lease_seconds
+from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.agentbook import AgentBook
 from hingepitch.jobs.blame import blame_of, log_crash, log_given_up, unseen_blame
@@ -34,7 +34,6 @@
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.restart import RestartBook
 from hingepitch.jobs.runview import RunViewStatus
-from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.spec import format_task
 from hingepitch.jobs.upkeep import UpkeepDesk
 from hingepitch.jobs.watch import RunWatch
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -11,11 +11,10 @@
 
 import gevent
 
-from hingepitch.clock import lease_seconds
+from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.jobs.command import BeginUpkeep, SettleUpkeep
 from hingepitch.jobs.fleet import FleetReply, VmState
 from hingepitch.jobs.record import UpkeepStage
-from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.watch import UPKEEP_REASON
 from hingepitch.log import log_event
 
--- a/hingepitch/logsink.py
+++ b/hingepitch/logsink.py
@@ -11,11 +11,12 @@
 
 import os
 import select
-import time
 from collections import Counter, deque
 
 import gevent
 
+from hingepitch.clock import lease_seconds
+
 __all__ = ["EventLimit", "LineBuffer"]
 
 #: Lines that the stream has not taken are kept up to this size, in bytes; later
@@ -42,7 +43,7 @@
         Function: seconds on a steady clock.
     """
 
-    def __init__(self, clock=time.monotonic, lines_per_second=LINES_PER_SECOND):
+    def __init__(self, clock=lease_seconds, lines_per_second=LINES_PER_SECOND):
         self.clock = clock
         self.lines_per_second = lines_per_second
         self.second = 0
--- a/hingepitch/metric.py
+++ b/hingepitch/metric.py
@@ -9,10 +9,11 @@
 """
 
 import resource
-import time
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from hingepitch.clock import lease_seconds
+
 __all__ = ["Metrics"]
 
 ACCEPTS = ("text/plain",)
@@ -52,7 +53,7 @@
         self.labels = {"program": program}
         self.metric_by_name = {}
         self.probes = []
-        self.started = time.monotonic()
+        self.started = lease_seconds()
 
     def make(self, kind, name, doc, **options):
         """Return the metric `name`, made on first use."""
@@ -88,7 +89,7 @@
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.set("cpu_seconds", "Processor time used.", usage.ru_utime + usage.ru_stime)
         self.set("resident_bytes_max", "Largest resident set.", usage.ru_maxrss * 1024)
-        self.set("up_seconds", "Time since the start.", time.monotonic() - self.started)
+        self.set("up_seconds", "Time since the start.", lease_seconds() - self.started)
         content, headers = render(self.registry, ACCEPTS)
         histograms, _ = render(self.histograms, ACCEPTS)
         return content + histograms, headers["Content-Type"]
--- a/tests/test_held_back.py
+++ b/tests/test_held_back.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hingepitch.clock import wall_ms
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
@@ -16,7 +17,7 @@
 from hingepitch.jobs.fleet import FleetReply
 from hingepitch.jobs.question import NoteBeat
 from hingepitch.jobs.record import UpkeepStage
-from hingepitch.jobs.service import JobService, wall_ms
+from hingepitch.jobs.service import JobService
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.upkeep import UpkeepDesk
 from tests.memory_minion import MemoryMinion
--- /dev/null
+++ b/tests/test_suspended.py
@@ -0,0 +1,112 @@
+"""A machine that is suspended: the steady clock stands, time itself goes on.
+
+Every lease is judged by a clock that counts the suspension, so what was allowed
+before is asked for anew after waking; the timers of the loop prove nothing.
+"""
+
+import re
+import time
+from pathlib import Path
+from types import SimpleNamespace
+
+import gevent
+import pytest
+
+from hingepitch import clock
+from hingepitch.entry.follower import Follower
+from hingepitch.error import HingepitchError
+from hingepitch.httpd import wait_until
+from hingepitch.jobs.question import AskPending
+from hingepitch.jobs.service import JobService
+from hingepitch.jobs.spec import Step
+from standin.taskminion import TaskMinion
+from tests.test_dispatch import SECONDS, rig
+from tests.test_job_rules import HOST
+
+__all__ = ["rig"]
+
+ROOT = Path(__file__).parent.parent
+
+#: Ways to read a clock beside `hingepitch.clock`.
+CLOCK_CALL = re.compile(
+    r"time\.(time|time_ns|monotonic|monotonic_ns|perf_counter|clock_gettime)\b"
+    r"|datetime\.(now|utcnow)|from time import"
+)
+
+
+@pytest.fixture
+def suspend(monkeypatch):
+    """Return a function that suspends this machine for some seconds."""
+    slept = SimpleNamespace(seconds=0.0)
+    read = time.clock_gettime
+
+    def read_shifted(clock_id):
+        counted = slept.seconds if clock_id == time.CLOCK_BOOTTIME else 0.0
+        return read(clock_id) + counted
+
+    def sleep(seconds):
+        slept.seconds += seconds
+
+    monkeypatch.setattr(clock.time, "clock_gettime", read_shifted)
+    return sleep
+
+
+def test_no_module_reads_a_clock_of_its_own():
+    sources = [*ROOT.glob("hingepitch/**/*.py"), *ROOT.glob("platform/**/*.py")]
+    found = [
+        source.name
+        for source in sources
+        if "gen" not in source.parts and CLOCK_CALL.search(source.read_text())
+    ]
+    assert found == ["clock.py"]
+
+
+def test_a_leader_that_wakes_gives_no_order_before_it_is_confirmed(rig, suspend):
+    minion = TaskMinion()
+    here = rig(minion)
+    assert wait_until(lambda: here.dispatcher.session is not None, SECONDS)
+    session = here.dispatcher.session
+    assert wait_until(session.may_order, SECONDS)
+    here.replica.confirm = lambda: gevent.sleep(60)
+    here.replica.is_leader = True
+    suspend(5.0)
+    assert not session.may_order()
+    here.submit(Step(1))
+    gevent.sleep(0.5)
+    assert not minion.starts
+
+
+def test_the_lease_of_a_silent_minion_runs_out_while_the_leader_is_suspended(
+    rig, suspend
+):
+    first, second = TaskMinion(), TaskMinion()
+    here = rig(first)
+    here.submit(Step(1, lasts=True))
+    assert wait_until(lambda: first.running, SECONDS)
+    first.faults.looks += ["dropped"] * 50
+    agent = here.dispatcher.session.agent_by_minion[first.life]
+    assert wait_until(lambda: agent.is_silent, SECONDS)
+    here.minions = (first, second)
+    here.register(1, second)
+    suspend(10.0)
+    assert agent.lease_over_at < clock.lease_seconds()
+    assert wait_until(lambda: second.running, SECONDS)
+
+
+def test_a_read_after_waking_is_confirmed_anew(rig, suspend):
+    here = rig(TaskMinion())
+    service = JobService(here.replica, here.roster, None, "test")
+    question = AskPending(HOST, "/q/")
+    assert service.answer(question) == 0
+    here.replica.is_leader = False
+    suspend(5.0)
+    with pytest.raises(HingepitchError):
+        service.answer(question)
+
+
+def test_an_entry_that_wakes_has_no_lease(suspend):
+    follower = Follower.__new__(Follower)
+    follower.lease_until = clock.lease_seconds() + 3.0
+    assert follower.has_lease()
+    suspend(5.0)
+    assert not follower.has_lease()
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -3,11 +3,11 @@
 import gevent
 import pytest
 
+from hingepitch.clock import wall_ms
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands, upkeep as upkeep_module
 from hingepitch.jobs.fleet import FleetReply, VmList, VmRow, VmState
 from hingepitch.jobs.record import UpkeepStage
-from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.upkeep import UpkeepDesk, needed_at_once
 from standin.taskminion import TaskMinion
--- a/tests/test_waiting_beside_room.py
+++ b/tests/test_waiting_beside_room.py
@@ -12,12 +12,12 @@
 
 from hypothesis import given, settings, strategies as st
 
+from hingepitch.clock import wall_ms
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.fleet import FleetReply
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.rack import slots_on
-from hingepitch.jobs.service import wall_ms
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.upkeep import UpkeepDesk
 from standin.taskminion import TaskMinion
