A job of one VM that is lost with its VMs ends as failed

The same class in the planner's own jobs: a task whose lease ran out because its VM was lost put the job back to wait, as often as that happened; only failures had a bound. The record counts losses, and the fifth ends the job. Its test was red before (waiting after five losses).

--- a/hingepitch/model/command.py
+++ b/hingepitch/model/command.py
@@ -224,11 +224,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EndJob:
-    """Record the end of a placed job; WAITING puts it back in the queue."""
+    """Record the end of a placed job; WAITING puts it back in the queue.
+
+    `is_lost`
+        Whether its VM was lost under it, or nobody heard how it ended.
+    """
 
     job: str
     lease: int
     state: JobState
+    is_lost: bool = False
 
 
 COMMAND_BY_NAME = {
--- a/hingepitch/model/record.py
+++ b/hingepitch/model/record.py
@@ -202,6 +202,8 @@
 
     `lease`
         The version at which the job was placed; 0 while it is not.
+    `losses`
+        How often it was lost with its VM.
     """
 
     name: str
@@ -219,6 +221,7 @@
     lease: int = 0
     attempts: int = 0
     version: int = 0
+    losses: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hingepitch/model/rules/job.py
+++ b/hingepitch/model/rules/job.py
@@ -100,5 +100,6 @@
     job = need(state, "job", command.job)
     if job.lease != command.lease or job.state not in PLACED_STATES:
         raise Refusal("wrong_life", f"job {job.name} is {job.state.value}")
-    ended = replace(job, state=command.state, vm="", lease=0)
+    losses = job.losses + command.is_lost
+    ended = replace(job, state=command.state, vm="", lease=0, losses=losses)
     state.put("job", job.name, ended, index)
--- a/hingepitch/planner/placement.py
+++ b/hingepitch/planner/placement.py
@@ -20,6 +20,10 @@
 #: Tries of a job before it counts as failed.
 MAX_ATTEMPTS = 3
 
+#: VMs that may be lost under a job before it counts as failed: one that takes
+#: its VM away is not started on all the others as well.
+MAX_LOSSES = 5
+
 #: Different jobs that must have failed on a VM before it is set aside.
 SUSPECT_AFTER = 3
 SUSPECT_SECONDS = 60.0
@@ -171,7 +175,9 @@
                 else:
                     running.append(task.name)
             else:
-                yield Propose(EndJob(job.name, job.lease, state_after(job, task)))
+                is_lost = task.state is TaskState.EXPIRED
+                after = state_after(job, task)
+                yield Propose(EndJob(job.name, job.lease, after, is_lost))
     if running and is_renewal_due:
         yield RenewTasks(tuple(running))
 
@@ -191,4 +197,6 @@
         return JobState.DONE
     if task.state is TaskState.FAILED and job.attempts >= MAX_ATTEMPTS:
         return JobState.FAILED
+    if task.state is TaskState.EXPIRED and job.losses + 1 >= MAX_LOSSES:
+        return JobState.FAILED
     return JobState.WAITING
--- a/tests/test_repetition.py
+++ b/tests/test_repetition.py
@@ -5,14 +5,21 @@
 that stands still wherever it runs was stopped and moved every few seconds.
 """
 
+from types import SimpleNamespace
+
 import gevent
 
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import health as health_module, watch as watch_module
 from hingepitch.jobs.restart import MAX_TASKS, RestartBook, pause_seconds
 from hingepitch.jobs.spec import Step
+from hingepitch.model import command as commands
+from hingepitch.model.record import JobState
+from hingepitch.planner.placement import MAX_LOSSES, plan_tasks, task_name
+from hingepitch.planner.view import TaskState
 from standin.taskminion import TaskMinion
 from tests.test_dispatch import SECONDS, rig
+from tests.test_fleet import Fleet, submit
 from tests.test_job_rules import task
 
 __all__ = ["rig"]
@@ -29,6 +36,20 @@
     assert wait_until(lambda: minion.running, SECONDS)
 
 
+def test_a_job_that_is_lost_with_its_vms_ends_as_failed():
+    fleet = Fleet()
+    submit(fleet, "j")
+    for _ in range(MAX_LOSSES):
+        assert fleet.state.get("job", "j").state is JobState.WAITING
+        fleet.planner(commands.PlaceJob("j", "v0"))
+        name = task_name(fleet.state.get("job", "j"))
+        lost = SimpleNamespace(state=TaskState.EXPIRED, name=name)
+        view = SimpleNamespace(task_by_name={name: lost})
+        for step in list(plan_tasks(fleet.state, view, is_renewal_due=False)):
+            assert fleet.planner(step.command).accepted
+    assert fleet.state.get("job", "j").state is JobState.FAILED
+
+
 def test_the_pause_grows_to_a_bound_and_ends_with_a_long_run():
     pauses = [pause_seconds(ends) for ends in range(1, 40)]
     assert pauses[0] == 0
