Planted faults for crashes, room and repetition

Faults moved to a module that two lists share; the copy of the code lacked soak/, which two test modules import.

--- /dev/null
+++ b/standin/crash_faults.py
@@ -0,0 +1,137 @@
+"""
+standin.crash_faults
+~~~~~~~~~~~~~~~~~~~~
+
+Faults in what bounds the repetition of tasks and the room of minions.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from standin.fault import Fault
+
+__all__ = ["CRASH_FAULTS"]
+
+CRASH_FAULTS = (
+    Fault(
+        "at_most_once",
+        "crashes under a task are not counted",
+        (
+            (
+                "jobs/crash.py",
+                "        record.crashes += 1\n",
+                "        record.crashes += 0\n",
+            ),
+            ("jobs/crash.py", "            record.alone += 1\n", ""),
+        ),
+        "culprits_are_given_up_and_nobody_else",
+    ),
+    Fault(
+        "at_most_once",
+        "crashes under a task are not in snapshots",
+        (("jobs/table.py", "            crashes=crashes,\n", ""),),
+        "two_crashes_that_nothing_else",
+    ),
+    Fault(
+        "at_most_once",
+        "a leader that watched nobody blames nothing",
+        (
+            (
+                "jobs/blame.py",
+                "    return Blame(tuple(runs), tuple(runs), "
+                "tuple(runs) if len(runs) == 1 else ())\n",
+                "    return NO_BLAME\n",
+            ),
+        ),
+        "leader_that_watched_nobody",
+    ),
+    Fault(
+        "at_most_once",
+        "lives of one VM are proof",
+        (("jobs/crash.py", " and vm not in record.vms", ""),),
+        "again_and_again_is_no_proof",
+    ),
+    Fault(
+        "at_most_once",
+        "minions that crash at one moment accuse each a task",
+        (
+            (
+                "jobs/blame.py",
+                "[] if has_company(agent, agents) else only_suspects(agent, exposed)",
+                "only_suspects(agent, exposed)",
+            ),
+        ),
+        "no_job_fails_whatever_falls or by_chance",
+    ),
+    Fault(
+        "at_most_once",
+        "suspects start beside others",
+        (
+            (
+                "jobs/isolation.py",
+                "        if self.crashes.suspicion(key):\n"
+                "            return self.admitted_suspect",
+                "        if False:\n            return self.admitted_suspect",
+            ),
+        ),
+        "culprits_are_given_up or no_job_fails",
+    ),
+    Fault(
+        "at_most_once",
+        "a silent life that answers again stays suspected",
+        (
+            (
+                "jobs/crash.py",
+                "        self.acquit(life)\n        if not blame.exposed:\n",
+                "        if not blame.exposed:\n",
+            ),
+        ),
+        "silent_life_counts_until",
+    ),
+    Fault(
+        "at_most_once",
+        "a task starts though silent lives may exceed its bound",
+        (
+            (
+                "jobs/isolation.py",
+                "        if self.crashes.suspicion(key) is Suspicion.BARRED:\n"
+                "            return []\n",
+                "",
+            ),
+        ),
+        "culprits_are_given_up",
+    ),
+    Fault(
+        "budget",
+        "a start that waited is sent though the room has shrunk",
+        (
+            (
+                "jobs/session.py",
+                "if self.table.taken_by_minion[run.minion].exceeds(minion):",
+                "if False:",
+            ),
+        ),
+        "waits_for_its_turn_is_dropped",
+    ),
+    Fault(
+        "budget",
+        "a report that was held back counts under another leader",
+        (
+            ("jobs/table.py", "minion.sequence < known.sequence:", "False:"),
+            ("jobs/service.py", "minion.sequence < known.sequence:", "False:"),
+        ),
+        "held_back_does_not_grow_a_room",
+    ),
+    Fault(
+        "at_most_once",
+        "a task that ends at once is started at once",
+        (
+            (
+                "jobs/plan.py",
+                "        and TaskKey(*key, index) not in work.outlook.paused\n",
+                "",
+            ),
+        ),
+        "ends_at_once_is_started_ever_more_rarely",
+    ),
+)
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -16,14 +16,17 @@
 import tempfile
 import time
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from pathlib import Path
 
+from standin.crash_faults import CRASH_FAULTS
+from standin.fault import Fault
+
 ROOT = Path(__file__).resolve().parent.parent
 COPIED = (
     "hingepitch",
     "standin",
     "platform",
+    "soak",
     "tests",
     "examples",
     "conftest.py",
@@ -39,22 +42,6 @@
 FAILED = 1
 
 
-@dataclass(frozen=True)
-class Fault:
-    """One planted fault.
-
-    `edits`
-        `(file, old text, new text)`; the old text must be there once.
-    `test`
-        The expression that selects the test that has to fail.
-    """
-
-    promise: str
-    name: str
-    edits: tuple
-    test: str
-
-
 #: Without its quorum check, a leader that is cut off stays one; else the
 #: scenario would have to be faster than that check to show the fault.
 LEADER_STAYS = (
@@ -68,6 +55,7 @@
 SET_ASIDE = "losses_cut_short"
 
 FAULTS = (
+    *CRASH_FAULTS,
     Fault(
         "budget",
         "budgets are not checked",
--- a/tests/test_crash_book.py
+++ b/tests/test_crash_book.py
@@ -1,11 +1,15 @@
 """What the log remembers of crashes: bounded, kept in snapshots, and taken back."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.crash import MAX_SILENT_LIVES, Blame, CrashBook, Suspicion
+from hingepitch.jobs.dispatch import Dispatcher
 from hingepitch.jobs.record import JobStatus, RunResult
+from hingepitch.jobs.roster import MinionRoster
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.table import JobTable, TableContent
 from tests.test_job_rules import JOB, Log, make_config, make_minion, task
@@ -64,6 +68,14 @@
     assert log.status is JobStatus.FAILED
 
 
+def test_a_leader_that_watched_nobody_blames_all_that_ran(log):
+    log.start(CULPRIT, task(), minion="i-1")
+    replica = SimpleNamespace(state=log.state)
+    dispatcher = Dispatcher(replica, MinionRoster(), None, None, "test")
+    assert set(dispatcher.take_blame("i-1").exposed) == {CULPRIT, task()}
+    assert not dispatcher.take_blame("i-2").exposed
+
+
 def test_a_planned_end_is_no_crash(log):
     for number in range(3):
         log.send(commands.RemoveMinion(f"i-{number}", 1000))
