--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -217,8 +217,9 @@
     for index in work.isolation.suspects_first(key, indexes):
         task = TaskKey(*key, index)
         admitted = work.isolation.admitted(work, task, step, candidates)
-        minion = best_minion(work, key, step, admitted)
-        if minion is None and work.table.crashes.suspicion(task):
+        is_suspect = bool(work.table.crashes.suspicion(task))
+        minion = best_minion(work, key, step, admitted, is_suspect)
+        if minion is None and is_suspect:
             continue
         if minion is None:
             policy = work.table.policy(job)
@@ -250,11 +251,12 @@
     return not restricted and policy.advice is None
 
 
-def best_minion(work, key, step, candidates):
+def best_minion(work, key, step, candidates, is_suspect=False):
     """Return the minion for one more task of a step, or None.
 
     Near the data first, then the least doubted, then the one that has the
     least of its processors free: the others stay empty and may be lent. A
+    suspect takes the one that has the most, where a crash hits the fewest. A
     task that lasts goes to a VM without an upkeep ahead, where there is one:
     it would have to leave again, and the tasks of its step leave one by one.
     """
@@ -267,11 +269,12 @@
         room = work.room(minion)
         if not room.fits(minion, step):
             continue
+        taken = room.cpu_millicores / max(1, minion.cpu_millicores)
         score = (
             bool(step.data_rack) and minion.rack != step.data_rack,
             step.lasts and minion.vm in work.vms_due,
             work.outlook.doubt_by_minion.get(minion.id, 0.0),
-            -room.cpu_millicores / max(1, minion.cpu_millicores),
+            taken if is_suspect else -taken,
         )
         if best is None or score < best_score:
             best, best_score = minion, score
