A job that crashes its minions fails through kills and restarts of real programs

A scenario of the real programs: the leader is killed after the first crash, all control programs after the second; the job is shown as failed after at most five starts, ten other jobs finish, no task runs twice. The stand-in's crash answered looks for 0.2 s after it (its server waited for calls under way), so a task that had crashed its minion was listed as done and its job succeeded: seen in the first run of this scenario, mended in the stand-in.

--- a/standin/site.py
+++ b/standin/site.py
@@ -22,12 +22,15 @@
 from standin import powerdisk
 from standin.cluster import Process, free_ports, http_call, wait_for
 
-__all__ = ["FAILING_PREFIX", "HOST", "Site", "config_body"]
+__all__ = ["CRASHING_PREFIX", "FAILING_PREFIX", "HOST", "Site", "config_body"]
 
 HOST = "queue.example"
 
 #: Tasks of jobs whose id begins so fail wherever they run.
 FAILING_PREFIX = "fa11"
+
+#: The first task of each step of jobs whose id begins so crashes its minion.
+CRASHING_PREFIX = "c4a5"
 POOL = "pool"
 
 
@@ -333,6 +336,10 @@
             return []
         return [json.loads(line) for line in self.notes.read_text().splitlines()]
 
+    def starts_of(self, task):
+        """Return how often a task was started."""
+        return sum(row[1] == "start" and row[3] == task for row in self.events())
+
     def doubled_tasks(self):
         """Return the tasks that ran twice at once, or again after their end."""
         open_runs = {}
--- a/standin/taskfleet.py
+++ b/standin/taskfleet.py
@@ -23,13 +23,18 @@
 
 from hingepitch.error import HingepitchError
 from hingepitch.jsoncall import call_json
-from standin.site import FAILING_PREFIX
+from standin.site import CRASHING_PREFIX, FAILING_PREFIX
 from standin.taskminion import TaskMinion
 
 __all__ = ["main"]
 
 BEAT_SECONDS = 0.5
 
+#: How soon after the start of a task a minion crashes under it, and how long it
+#: is away, in seconds.
+CRASH_SECONDS = 0.01
+DOWN_SECONDS = 1.5
+
 
 class ReportingMinion(TaskMinion):
     """A minion that notes what it does and reports to the system."""
@@ -47,8 +52,16 @@
         result = super().start_run(body)
         if len(self.starts) > before:
             self.fleet.note("start", self, body["task"], body["run"])
+            if body["task"].startswith(CRASHING_PREFIX) and body["task"][-2:] == ".0":
+                gevent.spawn_later(CRASH_SECONDS, self.crash, DOWN_SECONDS)
         return result
 
+    def crash(self, down_seconds):
+        """Crash, and note what goes with it."""
+        for task, one in self.running.items():
+            self.fleet.note("crashed", self, task, one.run)
+        super().crash(down_seconds)
+
     def finish(self, life, task, run, how="done"):
         """End a run by itself; some jobs always fail."""
         if task.startswith(FAILING_PREFIX):
@@ -65,6 +78,9 @@
         """Report again and again, to any control replica that answers."""
         controls = list(self.fleet.controls)
         while True:
+            if not self.is_up:
+                gevent.sleep(BEAT_SECONDS)
+                continue
             self.sequence += 1
             body = {
                 "service": self.pool,
--- a/standin/taskminion.py
+++ b/standin/taskminion.py
@@ -106,8 +106,9 @@
             return
         self.is_up = False
         port = self.server.server.server_port
-        self.server.stop()
         self.begin_life()
+        # At once: a crash answers nothing that is under way.
+        self.server.server.stop(timeout=0)
         gevent.spawn_later(down_seconds, self.listen, port)
 
     def close(self):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -6,7 +6,12 @@
 
 from adapter.settings import METRICS_PORT
 from standin.cluster import http_call, wait_for
-from standin.site import HOST, Site
+from standin.site import CRASHING_PREFIX, HOST, Site
+
+CRASHING_JOB = f"{CRASHING_PREFIX}000000000001"
+
+#: Starts of a task that crashes its minions: three, and two more at most.
+MOST_STARTS = 5
 
 JOBS = [f"{number:016x}" for number in range(1, 31)]
 
@@ -98,6 +103,25 @@
     finish(site, JOBS[:12])
 
 
+def test_a_job_that_crashes_its_minions_fails_through_restarts_of_all(site):
+    """The count of crashes must outlive leaders, snapshots and programs."""
+    assert site.submit(CRASHING_JOB, 3) == 200
+    for job in JOBS[:10]:
+        assert site.submit(job, 3, 2) == 200
+    culprit = f"{CRASHING_JOB}.0.0.0"
+    wait_for(lambda: site.starts_of(culprit) >= 1, 20, "a first crash")
+    site.process_by_ip[site.leader()].kill()
+    wait_for(lambda: site.starts_of(culprit) >= 2, 30, "a second crash")
+    for ip in site.control_ips:
+        if site.is_running(ip):
+            site.process_by_ip[ip].kill()
+    for ip in site.control_ips:
+        site.restart(ip)
+    wait_for(lambda: site.state(CRASHING_JOB) == "failed", 40, "the job given up")
+    assert site.starts_of(culprit) <= MOST_STARTS
+    finish(site, JOBS[:10])
+
+
 def test_a_stopped_entry_answers_what_it_has_taken(site):
     ip = site.entry_ips[0]
     process = site.process_by_ip[ip]
