A crash is recorded before the end of the life, by a command of its own

The blame stood in the commands that end a life, as a field that the version before passes over: in a group of both versions it would have started again what the others gave up. It is always a SuspectLife now, which that version cannot read, and a replica that cannot read an entry does not lead. Planned ends are told by the state itself (drain, move, upkeep).

--- a/hingepitch/jobs/command.py
+++ b/hingepitch/jobs/command.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-from hingepitch.jobs.crash import NO_BLAME, Blame
+from hingepitch.jobs.crash import Blame
 from hingepitch.jobs.queue import QueueConfig
 from hingepitch.jobs.record import Minion, RunResult, UpkeepStage
 from hingepitch.jobs.spec import JobSpec, TaskKey
@@ -111,33 +111,27 @@
 
 @dataclass(frozen=True, slots=True)
 class RegisterMinion:
-    """Add a life of a minion, or change what it says of itself.
-
-    `blame`
-        For the crash of the life before on the same VM, which it ends.
-    """
+    """Add a life of a minion, or change what it says of itself."""
 
     minion: Minion
     at_ms: int
-    blame: Blame = NO_BLAME
 
 
 @dataclass(frozen=True, slots=True)
 class RemoveMinion:
-    """A life of a minion is over, and all its runs with it.
-
-    `blame`
-        For its crash; nothing if its end was planned.
-    """
+    """A life of a minion is over, and all its runs with it."""
 
     id: str
     at_ms: int
-    blame: Blame = NO_BLAME
 
 
 @dataclass(frozen=True, slots=True)
 class SuspectLife:
-    """A silent life may have crashed; if it answers again, nothing is to blame."""
+    """A life may have crashed; nothing is to blame once it answers again.
+
+    Recorded before its end is. Versions that do not count crashes cannot read
+    it, and so do not lead a group that does.
+    """
 
     id: str
     blame: Blame
--- a/hingepitch/jobs/crash.py
+++ b/hingepitch/jobs/crash.py
@@ -61,6 +61,14 @@
     starting: tuple[TaskKey, ...] = ()
     alone: tuple[TaskKey, ...] = ()
 
+    def merged(self, other):
+        """Return the `Blame` of what this one or another one names."""
+        return Blame(
+            tuple(dict.fromkeys(self.exposed + other.exposed)),
+            tuple(dict.fromkeys(self.starting + other.starting)),
+            self.alone or other.alone,
+        )
+
 
 NO_BLAME = Blame()
 
@@ -173,10 +181,14 @@
         self.by_job.pop(job_id, None)
 
     def suspect(self, life, blame):
-        """Remember what is to blame if a silent life turns out to be over."""
-        self.acquit(life)
+        """Remember what is to blame if a life turns out to be over.
+
+        A blame of nothing takes back what was remembered.
+        """
+        before = self.acquit(life)
         if not blame.exposed:
             return
+        blame = before.merged(blame)
         self.blame_by_life[life] = blame
         self.silent_exposed.update(blame.exposed)
         self.silent_starting.update(blame.starting)
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -109,7 +109,9 @@
         """Return the `Blame` for a life that is over, as far as it was seen."""
         if self.session is None:
             return unseen_blame(self.replica.state.jobs, life)
-        return self.session.take_blame(life)
+        blame = self.session.blame(life)
+        self.session.gauge.note_crash(blame)
+        return blame
 
     def is_present(self, minion):
         """Whether a life answers a call now; False while nobody may call it."""
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -66,6 +66,8 @@
 
     def note_crash(self, blame):
         """Count a life of a minion that ended unplanned, and the runs lost with it."""
+        if not blame.exposed:
+            return
         self.metrics.count(
             "minion_crashes",
             "Lives of minions that ended under runs.",
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -319,5 +319,5 @@
             minion = self.agent.minion.id
             log_event("minion_lapsed", minion=minion, runs=len(ends), kept=kept)
         if ends:
-            self.agent.session.suspect(self.agent)
+            self.agent.session.suspect(self.agent.minion.id)
             self.agent.session.end_runs(tuple(ends))
--- a/hingepitch/jobs/rule.py
+++ b/hingepitch/jobs/rule.py
@@ -159,12 +159,12 @@
 
 @apply_command.register
 def _(command: commands.RegisterMinion, state, envelope, index):
-    state.jobs.put_minion(command.minion, command.at_ms, command.blame)
+    state.jobs.put_minion(command.minion, command.at_ms)
 
 
 @apply_command.register
 def _(command: commands.RemoveMinion, state, envelope, index):
-    state.jobs.remove_minion(command.id, command.at_ms, command.blame)
+    state.jobs.remove_minion(command.id, command.at_ms)
 
 
 @apply_command.register
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -16,7 +16,7 @@
 from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.error import HingepitchError
 from hingepitch.jobs import question as questions
-from hingepitch.jobs.blame import log_given_up
+from hingepitch.jobs.blame import log_crash, log_given_up
 from hingepitch.jobs.command import (
     AcceptJob,
     CancelJob,
@@ -24,6 +24,7 @@
     PutWave,
     RegisterMinion,
     RemoveMinion,
+    SuspectLife,
 )
 from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.log import log_event
@@ -234,10 +235,19 @@
     def register(self, minion):
         """Record what a minion says of itself; a new life ends the one before."""
         before = self.table.life_by_vm.get(minion.vm, minion.id)
-        blame = NO_BLAME if before == minion.id else self.roster.take_blame(before)
-        self.propose(Role.DISPATCHER, RegisterMinion(minion, wall_ms(), blame))
+        if before != minion.id:
+            self.suspect(before)
+        blame = self.table.crashes.blame_by_life.get(before, NO_BLAME)
+        self.propose(Role.DISPATCHER, RegisterMinion(minion, wall_ms()))
         log_given_up(self.table, before, blame)
 
+    def suspect(self, life):
+        """Record what is to blame for the end of a life, before its end is."""
+        blame = self.roster.take_blame(life)
+        if blame.exposed:
+            log_crash(life, blame)
+            self.propose(Role.DISPATCHER, SuspectLife(life, blame))
+
     def need_present(self, minion):
         """Refuse a life that would end another one and does not answer itself.
 
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -265,30 +265,27 @@
         if minion_id not in self.table.minion_by_id:
             return True
         log_event("minion_removed", minion=minion_id, reason=reason)
-        blame = self.take_blame(minion_id)
-        is_over = self.propose(RemoveMinion(minion_id, wall_ms(), blame))
+        self.suspect(minion_id)
+        blame = self.table.crashes.blame_by_life.get(minion_id, NO_BLAME)
+        is_over = self.propose(RemoveMinion(minion_id, wall_ms()))
         log_given_up(self.table, minion_id, blame)
         return is_over
 
-    def take_blame(self, minion_id):
-        """Return the `Blame` for a life that is over, logged and counted."""
-        agent = self.agent_by_minion.get(minion_id)
-        blame = self.blame(agent) if agent else unseen_blame(self.table, minion_id)
+    def suspect(self, minion_id):
+        """Record what is to blame if a life of a minion has crashed."""
+        blame = self.blame(minion_id)
         if blame.exposed:
             self.gauge.note_crash(blame)
             log_crash(minion_id, blame)
-        return blame
+            self.propose(SuspectLife(minion_id, blame))
 
-    def blame(self, agent):
-        """Return the `Blame` if the life of an agent is over now, unplanned."""
+    def blame(self, minion_id):
+        """Return the `Blame` if a life is over now, unplanned."""
+        agent = self.agent_by_minion.get(minion_id)
+        if agent is None:
+            return unseen_blame(self.table, minion_id)
         return blame_of(agent, self.agent_by_minion.values(), wall_ms())
 
-    def suspect(self, agent):
-        """Record that a silent minion whose lease is over may have crashed."""
-        blame = self.blame(agent)
-        if blame.exposed:
-            self.propose(SuspectLife(agent.minion.id, blame))
-
     def acquit(self, minion_id):
         """Record that a minion that was taken to have crashed answers again."""
         if minion_id in self.table.crashes.blame_by_life:
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from hingepitch.jobs.command import RunEnd
-from hingepitch.jobs.crash import NO_BLAME, CrashBook, CrashRecord, LifeBlame
+from hingepitch.jobs.crash import CrashBook, CrashRecord, LifeBlame
 from hingepitch.jobs.queue import QueueConfig, QueueIndex
 from hingepitch.jobs.record import (
     JobRecord,
@@ -370,7 +370,7 @@
 
     # Minions.
 
-    def put_minion(self, minion, at_ms, blame=NO_BLAME):
+    def put_minion(self, minion, at_ms):
         """Add a life of a minion; it ends the life before on the same VM."""
         if minion.id in self.ended_lives:
             return
@@ -386,7 +386,7 @@
             del self.life_by_vm[known.vm]
         before = self.life_by_vm.get(minion.vm)
         if before is not None and before != minion.id:
-            self.remove_minion(before, at_ms, blame)
+            self.remove_minion(before, at_ms)
         self.minion_by_id[minion.id] = minion
         self.life_by_vm[minion.vm] = minion.id
         if self.move_by_vm.get(minion.vm) == minion.pool:
@@ -394,12 +394,13 @@
         self.runs_by_minion.setdefault(minion.id, {})
         self.taken_by_minion.setdefault(minion.id, Room())
 
-    def remove_minion(self, life, at_ms, blame=NO_BLAME):
+    def remove_minion(self, life, at_ms):
         """End a life of a minion, and all its runs; count the crash under them."""
         minion = self.minion_by_id.pop(life, None)
         if minion is None:
             return
-        blames = (blame, self.crashes.acquit(life))
+        blame = self.crashes.acquit(life)
+        is_planned = self.is_leaving(minion)
         for run in list(self.runs_by_minion.get(life, {}).values()):
             self.end_run(lost_end(run), at_ms)
         self.runs_by_minion.pop(life, None)
@@ -409,8 +410,8 @@
         self.ended_lives[life] = None
         while len(self.ended_lives) > MAX_ENDED_LIVES:
             del self.ended_lives[next(iter(self.ended_lives))]
-        for one in blames:
-            self.charge_crash(one, minion.vm, at_ms)
+        if not is_planned:
+            self.charge_crash(blame, minion.vm, at_ms)
 
     def charge_crash(self, blame, vm, at_ms):
         """Count a crash under the tasks of open jobs; give up those that did it.
--- a/standin/crash_faults.py
+++ b/standin/crash_faults.py
@@ -82,8 +82,8 @@
         (
             (
                 "jobs/crash.py",
-                "        self.acquit(life)\n        if not blame.exposed:\n",
-                "        if not blame.exposed:\n",
+                "        before = self.acquit(life)\n",
+                "        before = self.blame_by_life.get(life, NO_BLAME)\n",
             ),
         ),
         "silent_life_counts_until",
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -188,11 +188,17 @@
         """Let a minion come as a new life; the one before is over."""
         record = make_minion(number, id=f"i-{next(self.lives)}", cpu_millicores=16_000)
         before = self.table.life_by_vm.get(record.vm)
-        blame = NO_BLAME if before is None else self.blame(before)
-        self.log.send(commands.RegisterMinion(record, self.now_ms, blame))
+        if before is not None:
+            self.suspect(before)
+        self.log.send(commands.RegisterMinion(record, self.now_ms))
         self.agent_by_minion.pop(before, None)
         self.agent_by_minion[record.id] = WatchedLife(self, record)
 
+    def suspect(self, life):
+        blame = self.blame(life)
+        if blame.exposed:
+            self.log.send(commands.SuspectLife(life, blame))
+
     def blame(self, life):
         agent = self.agent_by_minion.get(life)
         if agent is None:
@@ -236,7 +242,7 @@
         life = agent.minion.id
         if agent.answers or life not in self.agent_by_minion:
             return
-        self.log.send(commands.SuspectLife(life, self.blame(life)))
+        self.suspect(life)
         for run in list(self.runs_of(life).values()):
             self.end(run, RunResult.LOST)
         agent.view_by_task.clear()
--- a/tests/test_crash_book.py
+++ b/tests/test_crash_book.py
@@ -31,8 +31,11 @@
 
 def crash(log, number, life, blame):
     """Let a minion come back as another life; return its life."""
+    if blame.exposed:
+        before = log.table.life_by_vm[f"vm-{number}"]
+        log.send(commands.SuspectLife(before, blame))
     fresh = make_minion(number, id=life)
-    log.send(commands.RegisterMinion(fresh, 1000, blame))
+    log.send(commands.RegisterMinion(fresh, 1000))
 
 
 def renewed(log):
@@ -77,8 +80,10 @@
 
 
 def test_a_planned_end_is_no_crash(log):
-    for number in range(3):
-        log.send(commands.RemoveMinion(f"i-{number}", 1000))
+    draining = make_minion(0, is_draining=True)
+    log.send(commands.RegisterMinion(draining, 1000))
+    crash(log, 0, "a", CROWD)
+    log.send(commands.RemoveMinion("i-1", 1000))
     assert not log.table.crashes
 
 
