Operators ask why a job of a queue waits, starts apart or has failed

hingepitch-admin explain queued-job ID; the record of a job says how it failed; gauges of suspects and silent lives. Unknown jobs are one clear error.

--- a/hingepitch/admin/program.py
+++ b/hingepitch/admin/program.py
@@ -170,9 +170,9 @@
 
 
 def explain(kind: str, name: str, *, settings: str = DEFAULT_SETTINGS):
-    """Say why a job waits, or why a VM may not leave.
+    """Say why a job waits or has failed, or why a VM may not leave.
 
-    :param kind: job or vm
+    :param kind: job, queued-job or vm
     :param name: its name
     :param settings: the settings file of this program
     """
--- a/hingepitch/control/operator.py
+++ b/hingepitch/control/operator.py
@@ -16,6 +16,7 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import make_api
+from hingepitch.jobs.explain import QUEUED_JOB, explain_queued_job
 from hingepitch.model import explain
 from hingepitch.model.border import parse_object
 from hingepitch.model.codec import to_plain
@@ -180,7 +181,11 @@
     def on_get_explain(self, req, resp, kind, name):
         """Answer why a job waits or a VM may not leave."""
         self.authenticator.operator(req)
-        resp.media = explain.explain(self.confirm_state(), kind, name)
+        state = self.confirm_state()
+        if kind == QUEUED_JOB:
+            resp.media = explain_queued_job(state.jobs, name)
+        else:
+            resp.media = explain.explain(state, kind, name)
 
     def on_get_audit(self, req, resp):
         """Answer the audit records that match the query."""
--- a/hingepitch/jobs/crash.py
+++ b/hingepitch/jobs/crash.py
@@ -100,6 +100,10 @@
     alone: int = 0
     vms: tuple[str, ...] = ()
 
+    def __str__(self):
+        vms = f", alone on {', '.join(self.vms)}" if self.vms else ""
+        return f"crashed {self.crashes} minions{vms}"
+
     @property
     def is_proof(self):
         """Whether the task is to be given up."""
--- /dev/null
+++ b/hingepitch/jobs/explain.py
@@ -0,0 +1,69 @@
+"""
+hingepitch.jobs.explain
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Reasons for operators: why a job of a queue waits, or how it failed.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from hingepitch.error import HingepitchError
+from hingepitch.jobs.crash import Suspicion
+from hingepitch.jobs.record import TaskStatus
+from hingepitch.jobs.spec import format_task
+
+__all__ = ["QUEUED_JOB", "explain_queued_job"]
+
+#: The kind under which operators ask for jobs of queues.
+QUEUED_JOB = "queued-job"
+
+
+def explain_queued_job(table, job_id):
+    """Return the reasons for one job of a queue, as plain values.
+
+    Raises `HingepitchError` (`unknown_object`).
+    """
+    job = table.job_by_id.get(job_id)
+    if job is None:
+        raise HingepitchError("unknown_object", f"no {QUEUED_JOB} {job_id}")
+    reasons = list(job_reasons(table, job))
+    return {"kind": QUEUED_JOB, "name": job_id, "obstacles": reasons}
+
+
+def job_reasons(table, job):
+    """Yield why a job is where it is, one line for each reason."""
+    if not job.is_open:
+        yield f"the job is {job.status.value}: {job.failure or 'no failure noted'}"
+        return
+    for key in table.ready_steps:
+        if key[0] == job.id:
+            yield waiting_reason(table, job, key)
+    for task in sorted(table.crashes.suspects(job.id)):
+        yield suspicion_reason(table, task)
+
+
+def waiting_reason(table, job, key):
+    """Return how many tasks of a step wait, and for which pool."""
+    _, round_number, number = key
+    tasks = job.round_by_number[round_number].tasks_by_step[number]
+    waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
+    pool = table.policy(job).pool
+    minions = sum(one.pool == pool for one in table.minion_by_id.values())
+    return (
+        f"step {number}: {waiting} of {len(tasks)} tasks wait for pool {pool}, "
+        f"which has {minions} minions"
+    )
+
+
+def suspicion_reason(table, task):
+    """Return how a task is kept apart from others, and why."""
+    record = table.crashes.record(task)
+    crashes = record.crashes if record else 0
+    silent = table.crashes.silent_exposed[task]
+    text = f"{format_task(task)}: {crashes} minions crashed under it"
+    if silent:
+        text += f", {silent} more are silent"
+    if table.crashes.suspicion(task) is Suspicion.BARRED:
+        return f"{text}; it waits until these have spoken"
+    return f"{text}; it starts apart from others"
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -12,6 +12,7 @@
 
 from hingepitch.clock import wall_ms
 from hingepitch.jobs.contact import ReplyKind
+from hingepitch.jobs.crash import CrashBook
 from hingepitch.jobs.record import TaskStatus
 from hingepitch.jobs.runview import RunViewStatus
 
@@ -112,6 +113,16 @@
             waiting[job.spec.steps[number].lasts] += count
         self.show_waiting(waiting)
 
+    def note_suspects(self, crashes):
+        """Show how many tasks are under suspicion, and how many lives are silent."""
+        suspects = sum(1 for job in crashes.jobs() for _ in crashes.suspects(job))
+        self.metrics.set("suspects", "Tasks that start apart.", suspects)
+        self.metrics.set(
+            "silent_lives",
+            "Silent minions whose leases are over.",
+            len(crashes.blame_by_life),
+        )
+
     def show_waiting(self, waiting):
         """Show the tasks that wait; `waiting`: count by whether they last."""
         for lasts in (False, True):
@@ -126,6 +137,7 @@
         """Show that this process does not lead: others make the decisions now."""
         self.note_minions((), 0.0)
         self.show_waiting(Counter())
+        self.note_suspects(CrashBook())
 
     def observe_since(self, name, job, at_ms, **labels):
         """Time a job from its acceptance until `at_ms` since the epoch."""
--- a/hingepitch/jobs/record.py
+++ b/hingepitch/jobs/record.py
@@ -117,6 +117,8 @@
         How many due times were begun, and ended.
     `round_by_number`
         The rounds that are not done.
+    `failure`
+        Why it failed, for operators.
     """
 
     id: str
@@ -128,6 +130,7 @@
     rounds_done: int = 0
     ended_ms: int = 0
     round_by_number: dict[int, Round] = field(default_factory=dict)
+    failure: str = ""
 
     @property
     def is_open(self):
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -386,6 +386,7 @@
             gevent.sleep(LOAD_SECONDS)
             self.gauge.note_minions(self.agent_by_minion.values(), lease_seconds())
             self.gauge.note_waiting(self.table)
+            self.gauge.note_suspects(self.table.crashes)
             for pool, load in self.measure_pools().items():
                 log_event(
                     "pool_load",
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -28,6 +28,7 @@
     UpkeepStage,
     Wave,
 )
+from hingepitch.jobs.spec import format_task
 
 __all__ = ["JobTable", "Room", "StepKey", "TableContent", "lost_end"]
 
@@ -353,6 +354,7 @@
         counted = self.siblings(job, end.task)[0] if step.gang else self.task(end.task)
         counted.failures += 1
         if counted.failures >= self.policy(job).attempts:
+            job.failure = f"{format_task(end.task)} failed {counted.failures} times"
             self.end_job(job, JobStatus.FAILED, at_ms)
 
     def finish_job(self, job, at_ms):
@@ -422,8 +424,11 @@
         for key in blame.exposed:
             if self.task(key) is None:
                 continue
-            if self.crashes.charge(key, blame, vm).is_proof:
-                self.end_job(self.job_by_id[key.job], JobStatus.FAILED, at_ms)
+            record = self.crashes.charge(key, blame, vm)
+            if record.is_proof:
+                job = self.job_by_id[key.job]
+                job.failure = f"{format_task(key)} {record}"
+                self.end_job(job, JobStatus.FAILED, at_ms)
 
     def vms_in_upkeep(self):
         """Return the VMs whose upkeep has begun and is not over."""
