Minions that fall together have one cause; what had settled is not accused

Accused alone is now only what had just started or is kept apart; where three minions, a quarter of a pool, fall at one moment, runs count as exposed and not as starting, so that they start again beside each other.

--- a/hingepitch/jobs/blame.py
+++ b/hingepitch/jobs/blame.py
@@ -35,6 +35,15 @@
 #: beside the time in which each of them may have crashed.
 MOMENT_SECONDS = 0.03
 
+#: A minion that has crashed is noticed within this time, in seconds: the longest
+#: look and the time for its answer.
+UNHEARD_SECONDS = 1.5
+
+#: Minions of one pool that fall silent at one moment have one cause, not one task
+#: each: so many, and such a part of the pool.
+FEWEST_FALLEN = 3
+FALLEN_PART = 1 / 4
+
 #: Runs in one of these are not on their minion, as far as is known.
 ABSENT_STATUSES = frozenset((RunViewStatus.FRESH, RunViewStatus.STOPPED))
 
@@ -66,9 +75,11 @@
         return NO_BLAME
     views = agent.view_by_task.values()
     exposed = [view for view in views if is_exposed(agent, view, now_ms)]
-    heard_at = agent.heard_at
-    starting = [view for view in exposed if is_starting(view, heard_at)]
-    alone = [] if has_company(agent, agents) else only_suspects(agent, exposed)
+    fallen = fallen_at_once(agent, agents)
+    if has_common_cause(agent, agents, fallen):
+        return Blame(tasks_of(exposed))
+    starting = [view for view in exposed if is_starting(view, agent.heard_at)]
+    alone = [] if fallen else only_suspects(agent, exposed)
     return Blame(tasks_of(exposed), tasks_of(starting), tasks_of(alone))
 
 
@@ -100,14 +111,14 @@
     return not is_proven(view, step, agent.heard_at)
 
 
-def has_company(agent, agents):
-    """Whether another minion fell silent at the moment when this one crashed.
+def fallen_at_once(agent, agents):
+    """Return how many other minions fell silent when this one may have crashed.
 
-    Protects the tasks on a rack or a hall that loses power: each of its minions
-    may have one task that had just started.
+    One of them accuses no task alone: each may have one that had just started.
     """
-    margin = agent.silent_since - agent.heard_at + MOMENT_SECONDS
-    return any(
+    unheard = min(agent.silent_since - agent.heard_at, UNHEARD_SECONDS)
+    margin = unheard + MOMENT_SECONDS
+    return sum(
         other is not agent
         and other.minion.pool == agent.minion.pool
         and abs(other.silent_since - agent.silent_since) <= margin
@@ -115,11 +126,22 @@
     )
 
 
+def has_common_cause(agent, agents, fallen):
+    """Whether so many minions fell that no task of each can have done it.
+
+    Protects the tasks of a rack or a hall that loses power: they are exposed, but
+    start again beside each other.
+    """
+    pool = sum(other.minion.pool == agent.minion.pool for other in agents)
+    return fallen + 1 >= max(FEWEST_FALLEN, pool * FALLEN_PART)
+
+
 def only_suspects(agent, exposed):
     """Return the views of the one task or gang that can have done it, or none.
 
-    What had just started goes before what had to be kept from others, and that
-    before whatever ran there.
+    What had just started goes before what had to be kept from others. What had
+    settled and is hardly suspected is not accused, also where nothing else ran:
+    minions crash by chance as well.
     """
     crashes = agent.session.table.crashes
     starting = [view for view in exposed if is_starting(view, agent.heard_at)]
@@ -128,7 +150,7 @@
         for view in exposed
         if crashes.suspicion(view.run.task) >= Suspicion.RUNNING
     ]
-    suspects = starting or isolated or exposed
+    suspects = starting or isolated
     groups = {group_of(agent, view) for view in suspects}
     return suspects if len(groups) == 1 else []
 
--- a/standin/crash_faults.py
+++ b/standin/crash_faults.py
@@ -57,7 +57,13 @@
         (
             (
                 "jobs/blame.py",
-                "[] if has_company(agent, agents) else only_suspects(agent, exposed)",
+                "    if has_common_cause(agent, agents, fallen):\n"
+                "        return Blame(tasks_of(exposed))\n",
+                "",
+            ),
+            (
+                "jobs/blame.py",
+                "[] if fallen else only_suspects(agent, exposed)",
                 "only_suspects(agent, exposed)",
             ),
         ),
