What is under suspicion costs a pass only where a suspect waits

A lasting task that was beside a crash stays in the records while it runs; every pass went over all runs of its pool for that. Held minions are found by the suspects' own runs; all runs are looked at only in pools where a suspect waits.

--- a/hingepitch/jobs/isolation.py
+++ b/hingepitch/jobs/isolation.py
@@ -170,27 +170,40 @@
 
 
 def suspect_view(session):
-    """Return the `SuspectView` of a leadership, of the pools that need it."""
+    """Return the `SuspectView` of a leadership.
+
+    Only pools in which a suspect waits are gone over run by run: what has just
+    started matters to nobody else.
+    """
     table = session.table
     view = SuspectView()
-    jobs = (table.job_by_id.get(job_id) for job_id in table.crashes.jobs())
-    pools = {table.policy(job).pool for job in jobs if job is not None}
+    pools = set()
+    for job_id in table.crashes.jobs():
+        job = table.job_by_id.get(job_id)
+        if job is None or not job.is_open:
+            continue
+        for task in table.crashes.suspects(job_id):
+            run = table.run_by_task.get(task)
+            if run is None:
+                pools.add(table.policy(job).pool)
+            else:
+                note_suspect(view, session, run)
     for life, agent in session.agent_by_minion.items():
         if agent.minion.pool in pools:
-            note_minion(view, session, life, agent)
+            runs = session.runs_of(life).values()
+            if any(agent.is_starting(run) for run in runs):
+                view.starting.add(life)
     return view
 
 
-def note_minion(view, session, life, agent):
-    """Add the runs of one minion to a `SuspectView`."""
-    for run in session.runs_of(life).values():
-        suspicion = session.table.crashes.suspicion(run.task)
-        is_starting = agent.is_starting(run)
-        if is_starting:
-            view.starting.add(life)
-        if is_starting and suspicion:
-            view.starting_jobs.add(run.task.job)
-        if is_starting and suspicion:
-            view.held.add(life)
-        if suspicion >= Suspicion.RUNNING and not agent.is_proven(run):
-            view.held.add(life)
+def note_suspect(view, session, run):
+    """Add the run of a suspect to a `SuspectView`."""
+    agent = session.agent_by_minion.get(run.minion)
+    if agent is None:
+        return
+    if agent.is_starting(run):
+        view.starting_jobs.add(run.task.job)
+        view.held.add(run.minion)
+    suspicion = session.table.crashes.suspicion(run.task)
+    if suspicion >= Suspicion.RUNNING and not agent.is_proven(run):
+        view.held.add(run.minion)
