--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -39,9 +39,8 @@
 #: Orders on their way to one minion at once; each takes a connection.
 ORDERS_AT_ONCE = 2
 
-#: Time after which an order without an answer is given up, in seconds. Source:
-#: orders were answered within 5 ms on the day looked at; one that is given up
-#: too soon is only looked for.
+#: Time after which an order without an answer is given up, in seconds. One that
+#: is given up too soon is only looked for.
 ANSWER_SECONDS = 0.4
 
 #: Replies after which it is known what became of a start that was ordered
--- a/hingepitch/jobs/health.py
+++ b/hingepitch/jobs/health.py
@@ -17,18 +17,17 @@
 EVIDENCE_SECONDS = 10.0
 
 #: Different jobs in trouble on a minion from which it is avoided, and from
-#: which it gets nothing at all unless something has succeeded there since.
-#: Source: one job may fail everywhere by its own fault, three hardly do.
+#: which it gets nothing at all unless something has succeeded there since. One
+#: job may fail everywhere by its own fault, three hardly do.
 DOUBTED_FROM = 2
 SICK_FROM = 3
 
-#: A task whose progress has not moved for so long stands still, in seconds.
-#: Source: looks come every 0.6 s; the longest tasks played, slowed eight
-#: times, still move by a percent in less than a second.
+#: A task whose progress has not moved for so long stands still, in seconds: four
+#: looks, in which also a long task that was slowed moves by a percent.
 HUNG_SECONDS = 2.5
 
-#: The same for a member of a gang, which stands still until all are present.
-#: Source: minions wait for the others for up to 4 s.
+#: The same for a member of a gang, which stands still until all are present:
+#: longer than minions wait for the others.
 HUNG_GANG_SECONDS = 4.5
 
 
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -22,21 +22,18 @@
 
 __all__ = ["UNCONFIRMED_SECONDS", "LookDesk"]
 
-#: How long a look waits while a stop is under way. Source: stops end within
-#: 200 to 400 ms.
+#: How long a look waits while a stop is under way, in milliseconds: about as
+#: long as a stop takes.
 STOPPING_LOOK_MS = 300
 
 #: Least time for the answer of a look beyond the wait that was asked for, in
-#: seconds. Source: a look that is given up too soon costs new connections; the
-#: leader's own loop is held for tens of milliseconds while it plans a burst.
+#: seconds. One that is given up too soon costs a new connection, and the leader
+#: itself is late while it plans a burst.
 ANSWER_SECONDS = 0.2
 
-#: Part of a lease that a look may wait at most. Source: a look that never arrives
-#: is noticed when its wait and the time for its answer (0.2 to 0.4 s) are over,
-#: and the next one asks for life before another renews. With half of a lease of
-#: 4 s, the lease of the look before was over by then: a VM lost all its tasks by
-#: one lost look. With a quarter, two in a row may be lost. A VM where only tasks
-#: that last run is looked at once a second in place of every other (7 ms each).
+#: Part of a lease that a look may wait at most. A look that never arrives is
+#: noticed when its wait is over, and the next one renews nothing: with a quarter,
+#: two in a row may be lost before the lease is over, with half not one.
 LEASE_PART = 1 / 4
 
 #: Pause after the second of two looks in a row that got no answer, in seconds.
@@ -45,9 +42,8 @@
 #: The same where nothing runs: nothing is waited for.
 IDLE_RETRY_SECONDS = 2.0
 
-#: Pause while the leader is not confirmed and may give no orders, in seconds.
-#: Source: it confirms itself every 0.15 s; without a pause, orders that wait
-#: held the processor until then.
+#: Pause while the leader is not confirmed and may give no orders, in seconds, so
+#: that orders that wait do not hold the processor.
 UNCONFIRMED_SECONDS = 0.05
 
 #: Runs that the end of a lease does not settle: the order of their start does.
--- a/hingepitch/jobs/rule.py
+++ b/hingepitch/jobs/rule.py
@@ -23,8 +23,8 @@
 
 __all__ = ["start_fault"]
 
-#: Jobs that are not ended; beyond, new ones are refused. Source: about ten
-#: times the open jobs of the busiest day played, at 4 KB each 20 MB of memory.
+#: Jobs that are not ended; beyond, new ones are refused. At 4 KB each they take
+#: 20 MB of memory.
 MAX_OPEN_JOBS = 5000
 
 
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -32,8 +32,8 @@
 
 __all__ = ["JobService"]
 
-#: How soon a refused caller may come back. Source: a new leader is there
-#: within about a second.
+#: How soon a refused caller may come back, in milliseconds: about when a new
+#: leader is there.
 RETRY_AFTER_MS = 1000
 
 #: How long a read may rest on the last confirmed round instead of one of its
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -42,9 +42,9 @@
 
 __all__ = ["Session"]
 
-#: How often the leader confirms itself, and how old the last confirmation
-#: may be when an order goes out, in seconds. Source: no other replica can be
-#: elected within 0.6 s (six ticks) of a round that a quorum has answered.
+#: How often the leader confirms itself, and how old the last confirmation may be
+#: when an order goes out, in seconds: less than the six ticks of 0.1 s after a
+#: round that a quorum has answered in which no other replica can be elected.
 CONFIRM_SECONDS = 0.15
 MAX_CONFIRMED_AGE_SECONDS = 0.5
 
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -33,13 +33,12 @@
 __all__ = ["JobTable", "Room", "StepKey", "TableContent", "lost_end"]
 
 #: Ended jobs are kept at least so long, for their callers' questions, and
-#: then only so many of them. Source: the longest retention asked for, 120 s,
-#: with as much again for clocks that differ.
+#: then only so many of them, in milliseconds: twice the 120 s that callers may
+#: count on, for clocks that differ.
 ENDED_JOB_RETENTION_MS = 240_000
 MAX_ENDED_JOBS = 20_000
 
-#: Jobs remembered for the leader's measure of what arrives. Source: ten times
-#: of what the busiest day played brings in a step of the measure.
+#: Jobs remembered for the leader's measure of what arrives.
 MAX_ARRIVED_JOBS = 256
 
 #: Lives of minions that are over and must not come back by a late message.
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -19,21 +19,17 @@
 
 __all__ = ["UPKEEP_REASON", "RunWatch"]
 
-#: How long a look waits at a minion where fillers run beside tasks that serve.
-#: Source: harm that lasts 4 s counts; a look, a decision and an order have to
-#: fit in well before.
+#: How long a look waits at a minion where fillers run beside tasks that serve, in
+#: milliseconds: harm must be seen and ended within a few seconds.
 SHARED_LOOK_MS = 500
 
-#: How long a look waits where tasks run that end by themselves. Source: a look
-#: whose answer is lost hides all ends for that long; a look costs as much as
-#: 7 ms of a VM.
+#: How long a look waits where tasks run that end by themselves, in milliseconds:
+#: one whose answer is lost hides all ends for that long.
 BUSY_LOOK_MS = 600
 
-
 #: How long a look waits where a task that lasts has begun and is not at work
-#: yet, and for how long it is looked at so often, in seconds. Source: such tasks
-#: are at work 0.5 to 0.7 s after their start; a look that waits for an end tells
-#: it up to 2 s later, and so long no other task of the step may leave its VM.
+#: yet, in milliseconds, and for how long it is looked at so often, in seconds.
+#: Until it is seen at work, no other task of its step may leave its VM.
 WARMING_LOOK_MS = 200
 WARMING_SECONDS = 2.0
 
--- a/hingepitch/logsink.py
+++ b/hingepitch/logsink.py
@@ -19,20 +19,18 @@
 
 __all__ = ["EventLimit", "LineBuffer"]
 
-#: Lines that the stream has not taken are kept up to this size, in bytes; later
-#: ones are dropped and counted. Source: a second of lines under full load.
+#: Lines that the stream has not taken are kept up to this size, in bytes, about a
+#: second of lines under full load; later ones are dropped and counted.
 MAX_KEPT_BYTES = 262_144
 
-#: Bytes in one write. Source: a pipe that is writable takes at least so many
-#: without blocking (PIPE_BUF).
+#: Bytes in one write: a pipe that is writable takes as many without blocking
+#: (PIPE_BUF).
 WRITE_BYTES = 4096
 
 #: Time between two writes, in seconds: lines of that time go out together.
 FLUSH_SECONDS = 0.05
 
-#: Lines of one event in a second; beyond, they are only counted. Source: an
-#: estimate of 430 starts and as many ends a second for the grown sites; one day
-#: played there was busier after a restart, and up to 490 were withheld.
+#: Lines of one event in a second; beyond, they are only counted.
 LINES_PER_SECOND = 500
 
 
