A suspect that finds no minion does not hold its pool back for good

After two seconds it starts as any other task; VMs that crashed under it are avoided, not refused. The bound of five in all holds as before.

--- a/hingepitch/jobs/isolation.py
+++ b/hingepitch/jobs/isolation.py
@@ -15,12 +15,16 @@
 from hingepitch.jobs.record import TaskStatus
 from hingepitch.jobs.spec import TaskKey
 
-__all__ = ["Isolation", "SuspectView", "suspect_view"]
+__all__ = ["Isolation", "SuspectView", "SuspectWaits", "suspect_view"]
 
 #: Part of a pool's minions that is kept free for suspects while any wait; at
 #: least one.
 RESERVED_PART = 1 / 4
 
+#: A suspect that found no minion for so long starts beside others, in seconds:
+#: where all are busy or too full, neither it nor the others may wait for good.
+LONGEST_WAIT_SECONDS = 2.0
+
 
 @dataclass(slots=True)
 class SuspectView:
@@ -32,11 +36,38 @@
         Lives on which nothing else may start, for a suspect is there.
     `starting_jobs`
         Jobs of which a suspect has just started.
+    `overdue`
+        Suspects that have waited for so long that they start beside others.
     """
 
     starting: set[str] = field(default_factory=set)
     held: set[str] = field(default_factory=set)
     starting_jobs: set[str] = field(default_factory=set)
+    overdue: set = field(default_factory=set)
+
+
+class SuspectWaits:
+    """Since when suspects wait, as one leadership saw it.
+
+    `now`
+        Function: seconds on the clock of leases.
+    """
+
+    def __init__(self, now):
+        self.now = now
+        self.since_by_task = {}
+
+    def overdue(self, waiting):
+        """Return which of the suspects that wait now have done so for too long."""
+        now = self.now()
+        self.since_by_task = {
+            task: self.since_by_task.get(task, now) for task in waiting
+        }
+        return {
+            task
+            for task, since in self.since_by_task.items()
+            if now - since > LONGEST_WAIT_SECONDS
+        }
 
 
 class Isolation:
@@ -66,7 +97,10 @@
         if job is None or not job.is_open:
             return
         pool = self.table.policy(job).pool
-        waiting = sum(self.is_waiting(task) for task in self.crashes.suspects(job_id))
+        suspects = self.crashes.suspects(job_id)
+        waiting = sum(
+            self.is_waiting(task) and task not in self.view.overdue for task in suspects
+        )
         self.waiting_by_pool[pool] = waiting + self.waiting_by_pool.get(pool, 0)
 
     def is_waiting(self, key):
@@ -75,6 +109,13 @@
         is_ready = key[:3] in self.table.ready_steps
         return is_ready and task is not None and task.status is TaskStatus.WAITING
 
+    def suspicion(self, key):
+        """Return the `Suspicion` of a task, none once it has waited for too long."""
+        suspicion = self.crashes.suspicion(key)
+        if suspicion < Suspicion.BARRED and key in self.view.overdue:
+            return Suspicion.NONE
+        return suspicion
+
     @property
     def is_idle(self):
         """Whether there is nobody to keep apart."""
@@ -103,7 +144,7 @@
         """Return the minions that may take a task now, room aside."""
         if self.is_idle:
             return candidates
-        if self.crashes.suspicion(key):
+        if self.suspicion(key):
             return self.admitted_suspect(key, step, candidates)
         if not candidates:
             return candidates
@@ -122,14 +163,12 @@
         if gang is None and key.job in self.view.starting_jobs:
             return []
         taken = self.view.starting | self.view.held
-        settled = [
+        return [
             minion
             for minion in candidates
             if minion.id not in taken
             or (gang and self.gang_by_minion.get(minion.id) == gang)
         ]
-        crashed = self.crashes.crashed_vms(key)
-        return [one for one in settled if one.vm not in crashed] or settled
 
     def reserved(self, work, pool):
         """Return the lives of a pool that are kept free for its suspects.
@@ -160,7 +199,7 @@
         """Note that the pass starts a task on a minion."""
         if self.is_idle:
             return
-        if not self.crashes.suspicion(key):
+        if not self.suspicion(key):
             self.view.starting.add(minion.id)
             return
         self.view.held.add(minion.id)
@@ -178,6 +217,7 @@
     table = session.table
     view = SuspectView()
     pools = set()
+    waiting = set()
     for job_id in table.crashes.jobs():
         job = table.job_by_id.get(job_id)
         if job is None or not job.is_open:
@@ -185,6 +225,7 @@
         for task in table.crashes.suspects(job_id):
             run = table.run_by_task.get(task)
             if run is None:
+                waiting.add(task)
                 pools.add(table.policy(job).pool)
             else:
                 note_suspect(view, session, run)
@@ -193,6 +234,7 @@
             runs = session.runs_of(life).values()
             if any(agent.is_starting(run) for run in runs):
                 view.starting.add(life)
+    view.overdue = session.suspect_waits.overdue(waiting)
     return view
 
 
--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -217,8 +217,9 @@
     for index in work.isolation.suspects_first(key, indexes):
         task = TaskKey(*key, index)
         admitted = work.isolation.admitted(work, task, step, candidates)
-        is_suspect = bool(work.table.crashes.suspicion(task))
-        minion = best_minion(work, key, step, admitted, is_suspect)
+        is_suspect = bool(work.isolation.suspicion(task))
+        avoided = work.table.crashes.crashed_vms(task)
+        minion = best_minion(work, key, step, admitted, is_suspect, avoided)
         if minion is None and is_suspect:
             continue
         if minion is None:
@@ -251,14 +252,15 @@
     return not restricted and policy.advice is None
 
 
-def best_minion(work, key, step, candidates, is_suspect=False):
+def best_minion(work, key, step, candidates, is_suspect=False, avoided=()):
     """Return the minion for one more task of a step, or None.
 
     Near the data first, then the least doubted, then the one that has the
     least of its processors free: the others stay empty and may be lent. A
-    suspect takes the one that has the most, where a crash hits the fewest. A
-    task that lasts goes to a VM without an upkeep ahead, where there is one:
-    it would have to leave again, and the tasks of its step leave one by one.
+    suspect takes the one that has the most, where a crash hits the fewest, and
+    not a VM of `avoided` where there is another. A task that lasts goes to a
+    VM without an upkeep ahead, where there is one: it would have to leave
+    again, and the tasks of its step leave one by one.
     """
     carried = work.carried(key)
     best = None
@@ -271,6 +273,7 @@
             continue
         taken = room.cpu_millicores / max(1, minion.cpu_millicores)
         score = (
+            minion.vm in avoided,
             bool(step.data_rack) and minion.rack != step.data_rack,
             step.lasts and minion.vm in work.vms_due,
             work.outlook.doubt_by_minion.get(minion.id, 0.0),
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -26,7 +26,7 @@
 from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
-from hingepitch.jobs.isolation import SuspectView, suspect_view
+from hingepitch.jobs.isolation import SuspectView, SuspectWaits, suspect_view
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveDesk
 from hingepitch.jobs.permission import PermissionDesk
@@ -81,6 +81,8 @@
         Whether a fault of the program ended the session.
     `restarts`
         The tasks that last and ended as soon as they were started.
+    `suspect_waits`
+        Since when tasks wait that are to start apart from others.
     `rack_waits`
         Since when steps wait that want one rack, as this leadership saw it.
     """
@@ -105,6 +107,7 @@
         self.woken = Event()
         self.rack_waits = {}
         self.restarts = RestartBook()
+        self.suspect_waits = SuspectWaits(lease_seconds)
         self.gather_seconds = GATHER_SECONDS
         self.inherited = {
             (run.task, run.number) for run in self.table.run_by_task.values()
--- a/standin/crash_faults.py
+++ b/standin/crash_faults.py
@@ -75,13 +75,25 @@
         (
             (
                 "jobs/isolation.py",
-                "        if self.crashes.suspicion(key):\n"
+                "        if self.suspicion(key):\n"
                 "            return self.admitted_suspect",
                 "        if False:\n            return self.admitted_suspect",
             ),
         ),
         "culprits_are_given_up or no_job_fails",
     ),
+    Fault(
+        "at_most_once",
+        "a suspect waits for good",
+        (
+            (
+                "jobs/isolation.py",
+                "            if now - since > LONGEST_WAIT_SECONDS\n",
+                "            if now < since\n",
+            ),
+        ),
+        "suspect_that_fits_nowhere",
+    ),
     Fault(
         "at_most_once",
         "a silent life that answers again stays suspected",
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -10,7 +10,7 @@
 from hingepitch.jobs.blame import blame_of, is_proven, is_starting, unseen_blame
 from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.crash import NO_BLAME
-from hingepitch.jobs.isolation import SuspectView, suspect_view
+from hingepitch.jobs.isolation import SuspectView, SuspectWaits, suspect_view
 from hingepitch.jobs.plan import Outlook, plan_starts
 from hingepitch.jobs.record import JobStatus, RunResult
 from hingepitch.jobs.runview import RunView, RunViewStatus
@@ -63,6 +63,8 @@
 
     `crash_after`
         Seconds from the start of a culprit to the crash, by its task.
+    `millicores`
+        Of each minion that comes from now on.
     `sick_vms`
         VMs that crash under whatever they start.
     `starts`
@@ -75,7 +77,9 @@
         self.log = Log()
         self.log.send(commands.PutQueues(make_config()))
         self.agent_by_minion = {}
+        self.suspect_waits = SuspectWaits(lambda: self.now)
         self.crash_after = {}
+        self.millicores = 16_000
         self.sick_vms = set()
         self.starts = {}
         self.accepted_at = {}
@@ -189,7 +193,9 @@
 
     def register(self, number):
         """Let a minion come as a new life; the one before is over."""
-        record = make_minion(number, id=f"i-{next(self.lives)}", cpu_millicores=16_000)
+        record = make_minion(
+            number, id=f"i-{next(self.lives)}", cpu_millicores=self.millicores
+        )
         before = self.table.life_by_vm.get(record.vm)
         if before is not None:
             self.suspect(before)
--- a/tests/test_load_crashing_tasks.py
+++ b/tests/test_load_crashing_tasks.py
@@ -102,3 +102,37 @@
     others = world.submit_mix(20)
     world.run(60.0)
     assert all(world.status(job) is JobStatus.SUCCEEDED for job in others)
+
+
+SUSPECT = "c000000000000000"
+FILLING = "f000000000000000"
+
+
+def crash_once(world, millicores):
+    """Let one task crash its minion once, and be under suspicion from then on."""
+    world.submit(SUSPECT, Step(1, millicores, 100, estimate_ms=500))
+    world.crash_after[task(job=SUSPECT)] = 0.008
+    world.run(0.1)
+    world.crash_after.clear()
+
+
+def test_a_suspect_that_fits_nowhere_holds_nobody_back():
+    world = CrashWorld(1, minions=1)
+    crash_once(world, 8000)
+    world.millicores = 6000
+    world.run(8.0)
+    for number in range(20):
+        world.submit(f"b{number:015x}", Step(1, 1000, 100, estimate_ms=300))
+        world.run(0.2)
+    world.run(2.0)
+    assert world.table.crashes.suspicion(task(job=SUSPECT))
+    assert len(world.done_at) == 20
+    assert max(world.done_at[job] - world.accepted_at[job] for job in world.done_at) < 3
+
+
+def test_a_suspect_returns_to_a_vm_that_crashed_where_no_other_has_room():
+    world = CrashWorld(1, minions=2)
+    crash_once(world, 8000)
+    world.submit(FILLING, Step(1, 16_000, 100, lasts=True))
+    world.run(12.0)
+    assert world.status(SUSPECT) is JobStatus.SUCCEEDED
