--- a/hingepitch/jobs/crash.py
+++ b/hingepitch/jobs/crash.py
@@ -127,7 +127,6 @@
         self.by_job = {}
         self.blame_by_life = {}
         self.silent_exposed = Counter()
-        self.silent_starting = Counter()
 
     def __bool__(self):
         return bool(self.by_job or self.blame_by_life)
@@ -141,14 +140,18 @@
         return self.by_job.get(task.job, {}).get(task)
 
     def suspicion(self, task):
-        """Return the `Suspicion` of a task, silent minions included."""
+        """Return the `Suspicion` of a task, silent minions included.
+
+        One silent minion raises none: most are cut off or have lost their power,
+        and what ran there has waited for its lease already.
+        """
         record = self.record(task) or NO_CRASHES
         crashes = record.crashes + self.silent_exposed[task]
         if crashes >= MAX_CRASHES:
             return Suspicion.BARRED
         if crashes >= ISOLATED_FROM_CRASHES:
             return Suspicion.RUNNING
-        if crashes > 1 or record.at_start + self.silent_starting[task]:
+        if crashes > 1 or record.at_start:
             return Suspicion.STARTING
         return Suspicion.NONE
 
@@ -195,7 +198,6 @@
         blame = before.merged(blame)
         self.blame_by_life[life] = blame
         self.silent_exposed.update(blame.exposed)
-        self.silent_starting.update(blame.starting)
         while len(self.blame_by_life) > MAX_SILENT_LIVES:
             self.acquit(next(iter(self.blame_by_life)))
 
@@ -203,7 +205,6 @@
         """Forget, and return, what was to blame for the silence of a life."""
         blame = self.blame_by_life.pop(life, NO_BLAME)
         self.silent_exposed -= Counter(blame.exposed)
-        self.silent_starting -= Counter(blame.starting)
         return blame
 
     def to_content(self):
--- a/tests/test_crash_book.py
+++ b/tests/test_crash_book.py
@@ -89,9 +89,12 @@
 
 def test_a_silent_life_counts_until_it_answers_again(log):
     log.send(commands.SuspectLife("i-0", CROWD))
+    assert log.table.crashes.suspicion(CULPRIT) is Suspicion.NONE
+    log.send(commands.SuspectLife("i-1", CROWD))
     renewed(log)
     assert log.table.crashes.suspicion(CULPRIT) is Suspicion.STARTING
     log.send(commands.SuspectLife("i-0", Blame()))
+    log.send(commands.SuspectLife("i-1", Blame()))
     assert log.table.crashes.suspicion(CULPRIT) is Suspicion.NONE
     assert not log.table.crashes
 
