--- a/hingepitch/jobs/crash.py
+++ b/hingepitch/jobs/crash.py
@@ -121,6 +121,8 @@
     `blame_by_life`
         `Blame` by life of a minion that fell silent until its lease was over:
         it has crashed, or is cut off and will answer again.
+    `silent_exposed`
+        Under how many of these lives each task was.
     """
 
     def __init__(self):
@@ -132,7 +134,7 @@
         return bool(self.by_job or self.blame_by_life)
 
     def jobs(self):
-        """Return the jobs that have a task under suspicion."""
+        """Return the jobs that have a task under which a minion crashed or is silent."""
         return {*self.by_job, *(task.job for task in self.silent_exposed)}
 
     def record(self, task):
