--- a/hingepitch/jobs/crash.py
+++ b/hingepitch/jobs/crash.py
@@ -134,7 +134,7 @@
         return bool(self.by_job or self.blame_by_life)
 
     def jobs(self):
-        """Return the jobs that have a task under which a minion crashed or is silent."""
+        """Return the jobs with tasks under which minions crashed or are silent."""
         return {*self.by_job, *(task.job for task in self.silent_exposed)}
 
     def record(self, task):
