--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -20,6 +20,7 @@
 from hingepitch import __version__
 from hingepitch.error import ExitCode, HingepitchError
 from hingepitch.log import configure_log, log_event, make_log_buffer
+from hingepitch.metric import Metrics
 from hingepitch.setting import load_settings
 from hingepitch.supervisor import Supervisor
 
@@ -72,6 +73,20 @@
     def stop(self):
         """Release what `setup` took."""
 
+    def make_metrics(self):
+        """Return the `Metrics` of this program, which count its failing children."""
+        metrics = Metrics(self.program)
+        metrics.probes.append(partial(self.measure_children, metrics))
+        return metrics
+
+    def measure_children(self, metrics):
+        """Set the figure of the children that fail."""
+        metrics.set(
+            "children_failing",
+            "Children that failed lately and are started again.",
+            len(self.supervisor.failing),
+        )
+
     def give_up(self, broken):
         """Stop the process because a child cannot be started again."""
         self.exit_code = ExitCode.BROKEN_INVARIANT if broken else ExitCode.FAILED
--- a/hingepitch/control/audit.py
+++ b/hingepitch/control/audit.py
@@ -136,12 +136,18 @@
         self.open_file()
         self.remove_strays()
         if self.file.size > self.mark.size:
-            log_event("torn_tail_cut", segment=self.path.name, at=self.mark.size)
-            self.file.truncate(self.mark.size)
+            self.cut_to_mark()
         elif self.file.size < self.mark.size:
             self.note_lost(self.mark.size - self.file.size)
         self.start_next_if_full()
 
+    def cut_to_mark(self):
+        """Cut what no sync covered."""
+        at = self.mark.size
+        name, cut_bytes = self.path.name, self.file.size - at
+        log_event("torn_tail_cut", segment=name, at=at, cut_bytes=cut_bytes)
+        self.file.truncate(at)
+
     def note_lost(self, lost_bytes):
         """Let a record stand for those that were synced and are gone."""
         log_event("audit_incomplete", file=self.path.name, lost_bytes=lost_bytes)
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -30,7 +30,6 @@
 from hingepitch.httpd import HttpServer, StatusResources, wait_until
 from hingepitch.jobs.roster import MinionRoster
 from hingepitch.jobs.service import JobService
-from hingepitch.metric import Metrics
 from hingepitch.peerbook import PeerBook
 from hingepitch.rpc import RpcServer
 from hingepitch.setting import load_settings
@@ -54,7 +53,7 @@
         """Wire the parts and recover the state."""
         settings = self.settings
         self.disk = self.disk_class()
-        self.metrics = Metrics(self.program)
+        self.metrics = self.make_metrics()
         self.metrics.probes.append(self.measure_folder)
         self.roster = Roster(settings.lease_seconds)
         self.replica = Replica(
@@ -158,6 +157,16 @@
     def measure_folder(self):
         """Set the figures of the data folder."""
         replica = self.replica
+        self.metrics.set(
+            "storage_failed",
+            "1 while the data folder cannot be written.",
+            int(bool(replica.storage_fault)),
+        )
+        self.metrics.set(
+            "log_unread",
+            "1 while the state lacks an entry that cannot be read.",
+            int(bool(replica.unread)),
+        )
         self.metrics.set(
             "log_set_aside",
             "1 while files of a log that could not be read are kept.",
--- a/hingepitch/control/storage.py
+++ b/hingepitch/control/storage.py
@@ -229,7 +229,8 @@
             return
         if not is_last:
             raise HingepitchError("storage_damaged", f"{path.name} at byte {end}")
-        log_event("torn_tail_cut", segment=path.name, at=end)
+        cut_bytes = len(data) - end
+        log_event("torn_tail_cut", segment=path.name, at=end, cut_bytes=cut_bytes)
         self.cut(path, end)
 
     def cut(self, path, size):
--- a/hingepitch/entry/program.py
+++ b/hingepitch/entry/program.py
@@ -24,7 +24,6 @@
 from hingepitch.entry.settings import EntrySettings
 from hingepitch.group import GroupClient
 from hingepitch.httpd import HttpServer, StatusResources, wait_until
-from hingepitch.metric import Metrics
 
 __all__ = ["Entry", "main"]
 
@@ -44,7 +43,7 @@
         settings = self.settings
         self.is_leaving = False
         self.is_stopping = False
-        self.metrics = Metrics(self.program)
+        self.metrics = self.make_metrics()
         self.group = GroupClient(
             settings.control,
             settings.name,
--- a/hingepitch/planner/program.py
+++ b/hingepitch/planner/program.py
@@ -23,7 +23,6 @@
 from hingepitch.group import GroupClient
 from hingepitch.httpd import HttpServer, StatusResources, make_api
 from hingepitch.log import log_event
-from hingepitch.metric import Metrics
 from hingepitch.model.codec import decode_changes
 from hingepitch.model.command import TakePlannerLease
 from hingepitch.model.state import State
@@ -51,7 +50,7 @@
     def setup(self):
         """Wire the parts."""
         settings = self.settings
-        self.metrics = Metrics(self.program)
+        self.metrics = self.make_metrics()
         self.group = GroupClient(
             settings.control, settings.name, settings.shared_key, timeout_seconds=5.0
         )
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -759,8 +759,8 @@
         (
             (
                 "control/audit.py",
-                "            self.file.truncate(self.mark.size)",
-                "            pass",
+                "        self.file.truncate(at)",
+                "        pass",
             ),
         ),
         ON_A_DISK_WITH_TROUBLES,
