--- /dev/null
+++ b/tests/test_install_in_a_batch.py
@@ -0,0 +1,120 @@
+"""A follower that handles an installed state together with what came around it.
+
+Found by reading, while it was asked which data folder a control could not start
+from: a replica handles all messages that wait in one step. The whole state in the
+middle of them made the replica apply entries that nobody had committed, and write
+a snapshot with members that were in force only later.
+"""
+
+from types import SimpleNamespace
+
+import pytest
+
+from hingepitch.control.audit import AuditTrail
+from hingepitch.control.membership import encode_members
+from hingepitch.control.message import (
+    Entry,
+    EntryKind,
+    Member,
+    Message,
+    MessageKind,
+    Receive,
+)
+from hingepitch.control.replica import Replica
+from hingepitch.control.storage import Storage, found_folder
+from hingepitch.model.codec import encode_envelope
+from hingepitch.model.command import Envelope, PutPool, Role
+
+MEMBERS = tuple(
+    Member(name, name, f"127.0.0.1:{at}", "h1")
+    for at, name in enumerate(("c1", "c2", "c3"), start=1)
+)
+FEWER = MEMBERS[:2]
+TERM = 3
+
+#: Index of the entry that is committed before the state comes, and of the state.
+COMMITTED = 4
+INSTALLED = 6
+
+
+@pytest.fixture
+def follower(tmp_path):
+    found_folder(tmp_path / "data", "c2", MEMBERS)
+    replica = Replica(
+        Storage(tmp_path / "data", "c2"),
+        AuditTrail(tmp_path / "data"),
+        SimpleNamespace(send=lambda *_: None),
+        SimpleNamespace(take_over=lambda now: None),
+        lambda identity: identity,
+        "1",
+    )
+    replica.open()
+    yield replica
+    replica.close()
+
+
+def pool_entry(index):
+    name = f"pool-{index}"
+    envelope = Envelope(Role.OPERATOR, "journeys", "someone", PutPool(name), name)
+    return Entry(index, TERM, EntryKind.COMMAND, encode_envelope(envelope))
+
+
+def members_entry(index, members):
+    return Entry(index, TERM, EntryKind.MEMBERS, encode_members(members))
+
+
+def append(before, entries, commit):
+    return Message(
+        MessageKind.APPEND,
+        "c1",
+        "c2",
+        TERM,
+        index=before,
+        log_term=TERM if before else 0,
+        commit=commit,
+        entries=tuple(entries),
+    )
+
+
+def state_message(replica):
+    return Message(
+        MessageKind.SNAPSHOT,
+        "c1",
+        "c2",
+        TERM,
+        index=INSTALLED,
+        log_term=TERM,
+        entries=(members_entry(INSTALLED, MEMBERS),),
+        snapshot=replica.state.to_snapshot(),
+    )
+
+
+def handle_together(replica, *messages):
+    for message in messages:
+        replica.put(Receive(message))
+    replica.handle_events()
+
+
+# Guards against: a replica that shows commands which may still be taken back.
+def test_nothing_uncommitted_is_applied_behind_an_installed_state(follower):
+    first = [pool_entry(index) for index in range(1, COMMITTED + 1)]
+    later = [pool_entry(index) for index in range(INSTALLED + 1, INSTALLED + 9)]
+    handle_together(
+        follower,
+        append(0, first, COMMITTED),
+        state_message(follower),
+        append(INSTALLED, later, INSTALLED),
+    )
+    assert follower.core.commit_index == INSTALLED
+    assert follower.applied_index == INSTALLED
+    assert not follower.state.by_kind["pool"]
+
+
+# Guards against: a replica that counts votes of members that were taken back.
+def test_an_installed_snapshot_has_the_members_of_its_place(follower):
+    later = [members_entry(INSTALLED + 1, FEWER)]
+    handle_together(
+        follower, state_message(follower), append(INSTALLED, later, INSTALLED)
+    )
+    assert follower.core.members == FEWER
+    assert follower.storage.snapshot.members == MEMBERS
