--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -510,8 +510,11 @@
     # Applying.
 
     def apply_up_to(self, index):
-        """Apply the committed entries up to `index`, or to one that is unread."""
-        count = index - self.applied_index
+        """Apply the committed entries up to `index`, or to one that is unread.
+
+        A state that was installed in the same step may already be further.
+        """
+        count = max(0, index - self.applied_index)
         for entry in self.core.log.after(self.applied_index, count):
             if self.unread:
                 break
