--- a/hingepitch/control/consensus.py
+++ b/hingepitch/control/consensus.py
@@ -723,7 +723,7 @@
             self.commit_index = message.index
             members = decode_members(message.entries[0].payload)
             self.membership = MemberHistory(message.index, members)
-            self.do(Install(message.index, message.log_term, message.snapshot))
+            self.do(Install(message.index, message.log_term, members, message.snapshot))
         self.answer_append(message, granted=True, index=self.commit_index)
 
     # Small helpers.
--- a/hingepitch/control/message.py
+++ b/hingepitch/control/message.py
@@ -217,10 +217,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Install:
-    """Replace the state by a snapshot."""
+    """Replace the state by a snapshot, which has the members at its place."""
 
     index: int
     term: int
+    members: tuple[Member, ...]
     snapshot: bytes
 
 
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -641,8 +641,7 @@
 
     def install(self, action):
         """Replace the state by the snapshot of the leader."""
-        members = self.core.members_at(action.index)
-        snapshot = Snapshot(action.index, action.term, members, action.snapshot)
+        snapshot = Snapshot(action.index, action.term, action.members, action.snapshot)
         self.audit.skip_to(action.index)
         snapshot.trail = self.audit.sync()
         self.storage.save_snapshot(snapshot)
--- a/tests/test_every_call.py
+++ b/tests/test_every_call.py
@@ -80,7 +80,7 @@
     index = core.log.last_index + AHEAD
     state = one.replica.make_snapshot().state
     try:
-        one.replica.write_in_order([Install(index, core.term, state)])
+        one.replica.write_in_order([Install(index, core.term, core.members, state)])
     except (OSError, HingepitchError):
         assert not one.disk.has_power
 
--- a/tests/test_install_in_a_batch.py
+++ b/tests/test_install_in_a_batch.py
@@ -76,15 +76,15 @@
     )
 
 
-def state_message(replica):
+def state_message(replica, index=INSTALLED, members=MEMBERS):
     return Message(
         MessageKind.SNAPSHOT,
         "c1",
         "c2",
         TERM,
-        index=INSTALLED,
+        index=index,
         log_term=TERM,
-        entries=(members_entry(INSTALLED, MEMBERS),),
+        entries=(members_entry(index, members),),
         snapshot=replica.state.to_snapshot(),
     )
 
@@ -118,3 +118,12 @@
     )
     assert follower.core.members == FEWER
     assert follower.storage.snapshot.members == MEMBERS
+
+
+# Guards against: an older state whose place the log has left in the same step.
+def test_two_states_in_one_step_leave_the_later_one(follower):
+    later = state_message(follower, INSTALLED + 5, FEWER)
+    handle_together(follower, state_message(follower), later)
+    assert follower.storage.snapshot.index == INSTALLED + 5
+    assert follower.storage.snapshot.members == FEWER
+    assert follower.applied_index == INSTALLED + 5
