--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -10,7 +10,6 @@
 
 import signal
 import sys
-import traceback
 from contextlib import suppress
 from functools import partial
 
@@ -19,16 +18,13 @@
 
 from hingepitch import __version__
 from hingepitch.error import ExitCode, HingepitchError
-from hingepitch.log import configure_log, log_event, make_log_buffer
+from hingepitch.log import configure_log, log_event, make_log_buffer, place_of
 from hingepitch.metric import Metrics
 from hingepitch.setting import load_settings
 from hingepitch.supervisor import Supervisor
 
 __all__ = ["Application", "run_daemon", "run_logged"]
 
-#: Folder of the product in the names of its source files.
-PACKAGE = "hingepitch/"
-
 #: Pause before an address that is in use is tried again, in seconds.
 LISTEN_PAUSE_SECONDS = 0.2
 
@@ -128,13 +124,6 @@
     log_event("address_taken", address=server.address)
 
 
-def place_of(error):
-    """Return the file and line where `error` was raised in the product."""
-    frames = traceback.extract_tb(error.__traceback__)
-    own = [frame for frame in frames if PACKAGE in frame.filename] or frames
-    return f"{own[-1].filename.rpartition(PACKAGE)[2]}:{own[-1].lineno}"
-
-
 def run_daemon(application, model, settings_path, check):
     """Load the settings and run `application`; return the exit code.
 
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -50,7 +50,7 @@
     disk_class = Disk
 
     def setup(self):
-        """Wire the parts and recover the state."""
+        """Wire the parts."""
         settings = self.settings
         self.disk = self.disk_class()
         self.metrics = self.make_metrics()
@@ -72,7 +72,6 @@
             self.disk,
         )
         self.book.load()
-        self.replica.open_when_possible(self.stopping)
         self.group = GroupClient(
             self.book.addresses(), settings.name, settings.shared_key
         )
@@ -114,15 +113,20 @@
         ).make()
 
     def start(self):
-        """Start the children and the servers."""
+        """Start the servers, recover the state, and start the children.
+
+        The servers come first: who asks a control that waits for its data folder
+        is told so, and goes on to another one.
+        """
+        self.listen("rpc", self.rpc)
+        self.listen("http", self.http)
+        self.replica.open_when_possible(self.stopping)
         self.supervisor.start("replica", self.replica.run)
         self.supervisor.start("log writer", self.replica.write_ahead)
         self.supervisor.start("ticks", self.replica.tick)
         self.supervisor.start("book", self.keep_book)
         self.supervisor.start("announcer", self.keeper.announce)
         self.supervisor.start("keeper", self.keeper.run)
-        self.listen("rpc", self.rpc)
-        self.listen("http", self.http)
 
     def keep_book(self):
         """Keep the addresses of the replicas, if they may change by themselves."""
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -36,6 +36,7 @@
     ReadReady,
     ReadRequest,
     Receive,
+    Recovered,
     Refuse,
     RoleChanged,
     SaveVote,
@@ -48,7 +49,7 @@
 from hingepitch.control.snapshot import Snapshot
 from hingepitch.control.writer import LogWriter
 from hingepitch.error import HingepitchError
-from hingepitch.log import log_event
+from hingepitch.log import log_event, place_of
 from hingepitch.model.apply import apply, is_resend, object_of
 from hingepitch.model.codec import decode_envelope, encode_envelope, to_plain
 from hingepitch.model.command import Role
@@ -62,6 +63,9 @@
 PAUSE_AFTER_FAULT_SECONDS = 1.0
 READ_SECONDS = 2.0
 
+#: Why there is no state before the data folder is open.
+NOT_OPEN = "the data folder before it is open"
+
 #: How long a start waits for the process that has its data folder, in seconds.
 #: Source: longer than a process has between SIGTERM and SIGKILL (6 s).
 LOCKED_SECONDS = 10.0
@@ -122,7 +126,8 @@
         self.roster = roster
         self.address_of = address_of
         self.seed = seed
-        self.core = None
+        # Belongs to no group, so it neither votes nor leads.
+        self.core = Consensus(Recovered(identity=""), seed)
         self.state = State()
         self.applied_index = 0
         self.applied_term = 0
@@ -136,7 +141,7 @@
         self.log_bytes = 0
         self.proposed_at = 0.0
         self.storage_fault = ""
-        self.unread = ""
+        self.unread = NOT_OPEN
         self.must_reopen = False
 
     # Life cycle.
@@ -150,11 +155,11 @@
         self.load_snapshot(self.storage.snapshot)
 
     def open_when_possible(self, stopping):
-        """Open the data folder as soon as it can be written.
+        """Open the data folder as soon as it can be used.
 
-        A disk that refuses for a while is no reason to end the program, nor is
-        the process that had the folder last and has not gone yet; one that
-        stays is, for then somebody started two.
+        Whatever keeps it from that is no reason to end the program: its next
+        start would meet the same, and until then nobody could ask it why. But a
+        process that has the folder and stays is, for then somebody started two.
 
         `stopping`
             Event after which nobody waits; then `storage_failed` is raised.
@@ -165,12 +170,13 @@
                 self.open()
                 self.storage_fault = ""
                 return
-            except OSError as error:
-                self.note_storage_fault(error)
-            except HingepitchError as error:
-                if error.code != "folder_locked" or lease_seconds() > locked_until:
+            except (OSError, HingepitchError) as error:
+                is_locked = getattr(error, "code", "") == "folder_locked"
+                if is_locked and lease_seconds() > locked_until:
                     raise
                 self.note_storage_fault(error)
+            except Exception as error:
+                self.note_storage_fault(f"{error!r} at {place_of(error)}")
             self.close()
             if stopping.wait(PAUSE_AFTER_FAULT_SECONDS):
                 raise HingepitchError("storage_failed", self.storage_fault)
@@ -194,6 +200,9 @@
             self.put(MayLead(True))
         except HingepitchError as error:
             self.note_unread(f"state at {snapshot.index}", error)
+        except Exception as error:
+            # A fault of this version; the log is sound, and so is its vote.
+            self.note_unread(f"state at {snapshot.index}", repr(error))
         self.wake_followers()
 
     def run(self):
@@ -272,6 +281,11 @@
 
     # Requests of the other parts of this process.
 
+    @property
+    def is_open(self):
+        """Whether the data folder was opened, so that this replica is somebody."""
+        return bool(self.core.identity)
+
     @property
     def is_leader(self):
         """Whether this replica leads, as far as it knows."""
@@ -313,6 +327,8 @@
         `HingepitchError` (`not_leader`, `storage_failed`).
         """
         self.check_storage()
+        if not self.is_open:
+            raise HingepitchError("not_leader", retry_after_ms=200)
         result = AsyncResult()
         self.reads_waiting.append(result)
         self.arrived.set()
@@ -649,5 +665,6 @@
         log_event("snapshot_installed", index=action.index)
 
     def receive(self, message):
-        """Take a message of another replica."""
-        self.put(Receive(message))
+        """Take a message of another replica, if the data folder is open."""
+        if self.is_open:
+            self.put(Receive(message))
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -11,12 +11,23 @@
 import logging
 import re
 import sys
+import traceback
 
 from loguru import logger
 
 from hingepitch.logsink import EventLimit, LineBuffer
 
-__all__ = ["EVENTS", "configure_log", "format_pairs", "log_event", "make_log_buffer"]
+__all__ = [
+    "EVENTS",
+    "configure_log",
+    "format_pairs",
+    "log_event",
+    "make_log_buffer",
+    "place_of",
+]
+
+#: Folder of the product in the names of its source files.
+PACKAGE = "hingepitch/"
 
 #: Every event name with its level.
 EVENTS = {
@@ -130,6 +141,13 @@
     logger.log(EVENTS[event], "{}", format_pairs({"event": event, **pairs}))
 
 
+def place_of(error):
+    """Return the file and line where `error` was raised in the product."""
+    frames = traceback.extract_tb(error.__traceback__)
+    own = [frame for frame in frames if PACKAGE in frame.filename] or frames
+    return f"{own[-1].filename.rpartition(PACKAGE)[2]}:{own[-1].lineno}"
+
+
 def make_log_buffer(stream):
     """Return a `LineBuffer` for `stream` that logs how much it had to drop."""
     return LineBuffer(stream, lambda count: log_event("lines_dropped", count=count))
--- a/tests/test_start_stays.py
+++ b/tests/test_start_stays.py
@@ -108,6 +108,9 @@
     with pytest.raises(HingepitchError) as caught:
         replica.check_read()
     assert caught.value.code == "lost_leadership"
+    with pytest.raises(HingepitchError) as caught:
+        replica.confirm()
+    assert caught.value.code == "not_leader"
     for _ in range(3):
         replica.receive(None)
     assert not replica.inbox
