--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -162,10 +162,12 @@
         process that has the folder and stays is, for then somebody started two.
 
         `stopping`
-            Event after which nobody waits; then `storage_failed` is raised.
+            Event after which nobody waits.
+
+        Raises `HingepitchError` (`folder_locked`).
         """
         locked_until = lease_seconds() + LOCKED_SECONDS
-        while True:
+        while not stopping.is_set():
             try:
                 self.open()
                 self.storage_fault = ""
@@ -178,8 +180,7 @@
             except Exception as error:
                 self.note_storage_fault(f"{error!r} at {place_of(error)}")
             self.close()
-            if stopping.wait(PAUSE_AFTER_FAULT_SECONDS):
-                raise HingepitchError("storage_failed", self.storage_fault)
+            stopping.wait(PAUSE_AFTER_FAULT_SECONDS)
             self.renew_files()
             self.writer.reset(self.storage)
 
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -249,7 +249,7 @@
         (
             (
                 "control/storage.py",
-                'identity = f"{self.name}~{uuid.uuid4().hex[:8]}"',
+                'identity = f"{self.name}{NEWCOMER_MARK}{uuid.uuid4().hex[:8]}"',
                 "identity = self.name",
             ),
         ),
@@ -807,6 +807,50 @@
         ),
         "closed_twice",
     ),
+    Fault(
+        "durable",
+        "an unforeseen error of a data folder ends the start",
+        (
+            (
+                "control/replica.py",
+                """            except Exception as error:
+                self.note_storage_fault(f""",
+                """            except ZeroDivisionError as error:
+                self.note_storage_fault(f""",
+            ),
+        ),
+        "outlives_any_error",
+    ),
+    Fault(
+        "durable",
+        "a replica that is not open keeps the messages of others",
+        (("control/replica.py", "        if self.is_open:\n", "        if True:\n"),),
+        "not_open_knows_nothing",
+    ),
+    Fault(
+        "durable",
+        "a log without its last segment is believed",
+        (
+            (
+                "control/storage.py",
+                "        self.check_complete(identity)\n",
+                "",
+            ),
+        ),
+        "lacks_what_it_once_voted_by",
+    ),
+    Fault(
+        "config",
+        "an older commit reads the log from its end",
+        (
+            (
+                "control/replica.py",
+                "max(0, index - self.applied_index)",
+                "index - self.applied_index",
+            ),
+        ),
+        "nothing_uncommitted",
+    ),
 )
 
 
--- a/tests/test_start_stays.py
+++ b/tests/test_start_stays.py
@@ -21,6 +21,7 @@
 from hingepitch.control.replica import Replica
 from hingepitch.control.storage import Storage, found_folder
 from hingepitch.error import HingepitchError
+from hingepitch.httpd import wait_until
 from hingepitch.jobs.table import JobTable
 from standin.cluster import http_call, wait_for
 from standin.site import Site
@@ -119,6 +120,21 @@
     replica.close()
 
 
+# Guards against: a planned stop that is told as a failure while a start waits.
+def test_a_start_that_waits_can_be_stopped(folder, monkeypatch):
+    def refuse(self, *arguments):
+        raise OSError("refused")
+
+    monkeypatch.setattr(AuditTrail, "open", refuse)
+    replica = make_replica(folder)
+    stopping = Event()
+    opening = gevent.spawn(replica.open_when_possible, stopping)
+    assert wait_until(lambda: replica.storage_fault, SECONDS)
+    stopping.set()
+    opening.get(timeout=SECONDS)
+    assert not replica.is_open
+
+
 def last_segment(site, ip):
     return max((site.folder / ip).glob("segment-*"))
 
