--- a/hingepitch/control/peer.py
+++ b/hingepitch/control/peer.py
@@ -17,7 +17,7 @@
 from hingepitch.control.message import Entry, EntryKind, Message, MessageKind
 from hingepitch.error import HingepitchError
 from hingepitch.gen.control.ttypes import LogEntry, PeerMessage
-from hingepitch.log import log_event
+from hingepitch.log import log_event, place_of
 from hingepitch.rpc import ControlClient
 
 __all__ = ["PeerLinks", "from_wire", "to_wire"]
@@ -178,7 +178,9 @@
         try:
             self.deliver(link, batch)
         except Exception as error:
-            log_event("child_failed", child="link", error=repr(error))
+            log_event(
+                "child_failed", child="link", error=repr(error), at=place_of(error)
+            )
             gevent.sleep(PAUSE_AFTER_FAILURE_SECONDS)
 
     def deliver(self, link, batch):
--- a/hingepitch/httpd.py
+++ b/hingepitch/httpd.py
@@ -20,7 +20,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from hingepitch.error import ERROR_BY_CODE, HingepitchError
-from hingepitch.log import log_event
+from hingepitch.log import log_event, place_of
 from hingepitch.setting import parse_address
 
 __all__ = [
@@ -176,7 +176,7 @@
 
 def handle_unexpected(req, resp, error, params):
     """Answer an exception that nobody expected, and log it."""
-    log_event("child_failed", child="http", error=repr(error))
+    log_event("child_failed", child="http", error=repr(error), at=place_of(error))
     set_problem(resp, HingepitchError("internal"))
 
 
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -37,7 +37,7 @@
 from hingepitch.jobs.spec import format_task
 from hingepitch.jobs.upkeep import UpkeepDesk
 from hingepitch.jobs.watch import RunWatch
-from hingepitch.log import log_event
+from hingepitch.log import log_event, place_of
 from hingepitch.model.command import Envelope, Role
 
 __all__ = ["Session"]
@@ -354,7 +354,10 @@
         """Forget a greenlet; end the session if it failed."""
         self.greenlets.discard(greenlet)
         if not greenlet.successful():
-            log_event("child_failed", child="session", error=repr(greenlet.exception))
+            error = greenlet.exception
+            log_event(
+                "child_failed", child="session", error=repr(error), at=place_of(error)
+            )
             self.is_over = self.has_failed = True
             self.woken.set()
 
--- a/hingepitch/supervisor.py
+++ b/hingepitch/supervisor.py
@@ -14,7 +14,7 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
-from hingepitch.log import log_event
+from hingepitch.log import log_event, place_of
 
 __all__ = ["Supervisor"]
 
@@ -103,7 +103,11 @@
         """Log a failure; stop the process when there were too many."""
         child.failures += 1
         log_event(
-            "child_failed", child=child.name, failures=child.failures, error=repr(error)
+            "child_failed",
+            child=child.name,
+            failures=child.failures,
+            error=repr(error),
+            at=place_of(error),
         )
         broken = isinstance(error, HingepitchError) and error.code in BROKEN_CODES
         if broken or child.failures == self.max_failures:
--- a/tests/test_child_failures.py
+++ b/tests/test_child_failures.py
@@ -77,3 +77,18 @@
 def test_the_pause_of_a_child_that_fails_for_days_is_bounded():
     child = supervisor.Child("child", None, failures=100_000)
     assert supervisor.Supervisor(None).backoff_seconds(child) <= 0.01
+
+
+# Guards against: a failure that is told without the place that it comes from.
+def test_a_failure_is_logged_with_its_place(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        supervisor, "log_event", lambda event, **pairs: lines.append((event, pairs))
+    )
+    program = Program(RuntimeError("nobody foresaw it"))
+    program.start()
+    assert wait_until(lambda: lines, SECONDS)
+    program.supervisor.stop()
+    event, pairs = lines[0]
+    assert event == "child_failed"
+    assert "test_child_failures.py:" in pairs["at"] or "supervisor.py:" in pairs["at"]
