--- a/tests/test_install_in_a_batch.py
+++ b/tests/test_install_in_a_batch.py
@@ -6,11 +6,8 @@
 a snapshot with members that were in force only later.
 """
 
-from types import SimpleNamespace
-
 import pytest
 
-from hingepitch.control.audit import AuditTrail
 from hingepitch.control.membership import encode_members
 from hingepitch.control.message import (
     Entry,
@@ -20,15 +17,16 @@
     MessageKind,
     Receive,
 )
-from hingepitch.control.replica import Replica
-from hingepitch.control.storage import Storage, found_folder
+from hingepitch.control.storage import found_folder
 from hingepitch.model.codec import encode_envelope
 from hingepitch.model.command import Envelope, PutPool, Role
+from tests.lone_replica import make_replica
 
 MEMBERS = tuple(
     Member(name, name, f"127.0.0.1:{at}", "h1")
     for at, name in enumerate(("c1", "c2", "c3"), start=1)
 )
+
 FEWER = MEMBERS[:2]
 TERM = 3
 
@@ -40,14 +38,7 @@
 @pytest.fixture
 def follower(tmp_path):
     found_folder(tmp_path / "data", "c2", MEMBERS)
-    replica = Replica(
-        Storage(tmp_path / "data", "c2"),
-        AuditTrail(tmp_path / "data"),
-        SimpleNamespace(send=lambda *_: None),
-        SimpleNamespace(take_over=lambda now: None),
-        lambda identity: identity,
-        "1",
-    )
+    replica = make_replica(tmp_path / "data", "c2")
     replica.open()
     yield replica
     replica.close()
--- a/tests/test_start_stays.py
+++ b/tests/test_start_stays.py
@@ -8,7 +8,7 @@
 """
 
 import os
-from types import SimpleNamespace
+import re
 
 import gevent
 import pytest
@@ -18,13 +18,13 @@
 from hingepitch.control.audit import AuditTrail
 from hingepitch.control.batch import frame
 from hingepitch.control.message import Member
-from hingepitch.control.replica import Replica
-from hingepitch.control.storage import Storage, found_folder
+from hingepitch.control.storage import found_folder
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs.table import JobTable
 from standin.cluster import http_call, wait_for
 from standin.site import Site
+from tests.lone_replica import make_replica
 
 SECONDS = 5
 MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
@@ -44,17 +44,6 @@
     return tmp_path / "data"
 
 
-def make_replica(folder):
-    return Replica(
-        Storage(folder, "c1"),
-        AuditTrail(folder),
-        SimpleNamespace(send=lambda *_: None),
-        SimpleNamespace(take_over=lambda now: None),
-        lambda identity: identity,
-        "1",
-    )
-
-
 @pytest.mark.parametrize(
     "error",
     [
@@ -139,6 +128,15 @@
     return max((site.folder / ip).glob("segment-*"))
 
 
+def folder_figures(site, ip):
+    """Return the figures `storage_failed` and `log_unread` of a control."""
+    text = http_call(f"{ip}:{site.port}", "GET", "/metrics")[2].decode()
+    return tuple(
+        int(re.search(rf"^hingepitch_{name}{{.*}} (\d)$", text, re.MULTILINE)[1])
+        for name in ("storage_failed", "log_unread")
+    )
+
+
 # Guards against: a control program that ends at each start, and cannot be asked why.
 def test_a_control_stays_while_its_folder_is_of_another_version():
     with Site() as site:
@@ -155,9 +153,11 @@
         wait_for(lambda: site.status(ip), what="the status of the one that waits")
         assert "no record of type 99" in site.status(ip)["storage_fault"]
         assert http_call(f"{ip}:{site.port}", "GET", "/healthz")[0] == 503
+        assert folder_figures(site, ip) == (1, 1)
         assert site.put_config(2) == 200
         os.truncate(segment, size)
         wait_for(lambda: not site.status(ip)["storage_fault"], what="the open folder")
+        assert folder_figures(site, ip) == (0, 0)
         # With two others gone, nothing is answered without its vote.
         for gone in site.control_ips[3:]:
             site.process_by_ip[gone].kill()
--- a/tests/test_start_waits.py
+++ b/tests/test_start_waits.py
@@ -18,14 +18,13 @@
 
 from hingepitch.app import Application
 from hingepitch.control import founding
-from hingepitch.control.audit import AuditTrail
 from hingepitch.control.message import Member
-from hingepitch.control.replica import Replica
 from hingepitch.control.storage import Storage, found_folder
 from hingepitch.control.writer import LogWriter
 from hingepitch.error import ExitCode, HingepitchError
 from hingepitch.httpd import HttpServer, wait_until
 from hingepitch.rpc import RpcServer
+from tests.lone_replica import make_replica
 
 SECONDS = 5
 MEMBERS = (Member("c1", "c1", "127.0.0.1:1", "h1"),)
@@ -85,17 +84,6 @@
     assert running.get(timeout=SECONDS) == ExitCode.FINE
 
 
-def make_replica(folder):
-    return Replica(
-        Storage(folder, "c1"),
-        AuditTrail(folder),
-        SimpleNamespace(send=lambda *_: None),
-        SimpleNamespace(take_over=lambda now: None),
-        lambda identity: identity,
-        "1",
-    )
-
-
 def test_a_data_folder_that_is_in_use_is_waited_for(tmp_path, monkeypatch):
     monkeypatch.setattr("hingepitch.control.replica.PAUSE_AFTER_FAULT_SECONDS", 0.01)
     found_folder(tmp_path, "c1", MEMBERS)
