A log line is an append: it lets no other greenlet run

Seen: sessions of the leader ended by 'dictionary changed size during iteration' in a loop that only logs (upkeep.py, evacuate), all orders stopped for 0.2 s and more after it; greenlets of a control held up to 1.02 s by one line.

Cause: loguru was given the LineBuffer as a stream, and flushes a stream after every line. flush() asked a select.poll that the patched standard library turns into a wait in the hub, while the log's lock is held: every other greenlet ran, and those that logged queued behind the lock.

Fix: loguru gets LineBuffer.write, which only appends; keep_flushing alone writes, with the unpatched poll, so that a flush does not give way either. At the end of a program the rest is written for at most 0.2 s (close); before, lines that the pipe did not take at once were left.

The hub printed errors that nobody catches straight to standard error, which blocks the process when nobody reads it: they go through the same buffer now.

--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -143,10 +143,13 @@
 def run_logged(application, stream):
     """Run `application` with its log lines on `stream`; return the exit code."""
     buffer = make_log_buffer(stream)
-    configure_log(application.program, application.settings.log_level, buffer)
+    configure_log(application.program, application.settings.log_level, buffer.write)
+    # Errors that nobody catches are written by the hub, which would block.
+    gevent.get_hub().exception_stream = buffer
     flusher = gevent.spawn(buffer.keep_flushing)
     try:
         return application.run()
     finally:
         flusher.kill()
-        buffer.flush()
+        buffer.close()
+        del gevent.get_hub().exception_stream
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -153,16 +153,17 @@
     return LineBuffer(stream, lambda count: log_event("lines_dropped", count=count))
 
 
-def configure_log(program, level="INFO", stream=None):
-    """Send the log lines of `program` to `stream`, default standard error.
+def configure_log(program, level="INFO", write=None):
+    """Send the log lines of `program` to `write`, default standard error.
 
-    `stream`
-        Anything with `write(line)`; a `LineBuffer` for a daemon.
+    `write`
+        Function that takes a line; `LineBuffer.write` for a daemon. A stream
+        would be flushed after each line.
     """
     logger.remove()
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
     logger.add(
-        stream or sys.stderr,
+        write or sys.stderr,
         level=level,
         format="time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} "
         f"program={quote_value(program)} {{message}}",
--- a/hingepitch/logsink.py
+++ b/hingepitch/logsink.py
@@ -10,15 +10,19 @@
 """
 
 import os
-import select
 from collections import Counter, deque
+from select import POLLOUT
 
 import gevent
+from gevent.monkey import get_original
 
 from hingepitch.clock import lease_seconds
 
 __all__ = ["EventLimit", "LineBuffer"]
 
+#: The patched one lets other greenlets run.
+poll = get_original("select", "poll")
+
 #: Lines that the stream has not taken are kept up to this size, in bytes, about a
 #: second of lines under full load; later ones are dropped and counted.
 MAX_KEPT_BYTES = 262_144
@@ -30,6 +34,11 @@
 #: Time between two writes, in seconds: lines of that time go out together.
 FLUSH_SECONDS = 0.05
 
+#: Longest time for the rest of the lines when a program ends, in seconds, and how
+#: long one write of it is waited for, in milliseconds.
+CLOSE_SECONDS = 0.2
+CLOSE_POLL_MS = 20
+
 #: Lines of one event in a second; beyond, they are only counted.
 LINES_PER_SECOND = 500
 
@@ -69,6 +78,9 @@
 class LineBuffer:
     """Keeps lines until the stream takes them without waiting.
 
+    `write` and `flush` let no other greenlet run: whoever logs may be in the
+    middle of one step.
+
     `stream`
         An open file with a descriptor.
     `note_drops`
@@ -82,8 +94,8 @@
         self.lines = deque()
         self.size = 0
         self.dropped = 0
-        self.poll = select.poll()
-        self.poll.register(self.fd, select.POLLOUT)
+        self.poll = poll()
+        self.poll.register(self.fd, POLLOUT)
 
     def write(self, line):
         """Keep a line, or drop it where too many wait."""
@@ -124,6 +136,14 @@
             gevent.sleep(FLUSH_SECONDS)
             self.flush()
 
+    def close(self, seconds=CLOSE_SECONDS):
+        """Write the rest, as far as the stream takes it in time."""
+        until = lease_seconds() + seconds
+        while self.lines and lease_seconds() < until:
+            if self.poll.poll(CLOSE_POLL_MS):
+                self.write_some()
+        self.flush()
+
 
 def write_at_once(fd, data):
     """Write to a descriptor that is writable; return how many bytes it took.
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -1,6 +1,7 @@
 """Log lines: bounded a second, and never waited for."""
 
 import os
+import threading
 
 import pytest
 
@@ -16,6 +17,11 @@
         yield source, sink
 
 
+def read_slowly(source, size, read):
+    while len(read) < size:
+        read += source.read(1000) or b""
+
+
 def test_lines_go_out_in_order_and_whole(pipe):
     source, sink = pipe
     buffer = LineBuffer(sink, print)
@@ -50,6 +56,30 @@
     assert len(source.read()) == 20_001
 
 
+# Guards against a program that ends and leaves its last lines behind.
+def test_what_is_left_goes_out_when_it_is_closed(pipe):
+    source, sink = pipe
+    buffer = LineBuffer(sink, print)
+    text = "z" * 150_000
+    buffer.write(text)
+    buffer.flush()
+    read = []
+    reader = threading.Thread(target=read_slowly, args=(source, len(text), read))
+    reader.start()
+    buffer.close(seconds=30)
+    reader.join()
+    assert len(read) == len(text)
+
+
+# Guards against a program that cannot end because nobody reads its last lines.
+def test_closing_waits_a_bounded_time_for_the_reader(pipe):
+    _, sink = pipe
+    buffer = LineBuffer(sink, print)
+    buffer.write("z" * 150_000)
+    buffer.close(seconds=0.05)
+    assert buffer.lines
+
+
 def test_a_reader_that_is_gone_is_no_failure(pipe):
     source, sink = pipe
     buffer = LineBuffer(sink, print)
