A call takes an idle connection without waiting for the other greenlets

Cause: the same as for the log lines. is_readable asks a poll for no time, and the patched select.poll turns that into a wait in the hub until nothing else is ready. A busy leader has always something ready.

Fix: both places use poll_at_once, the system's own poll, kept by hingepitch.patch before it patches. A test shows that a metric gives way nowhere either.

--- a/hingepitch/exchange.py
+++ b/hingepitch/exchange.py
@@ -8,8 +8,8 @@
 :license: BSD, see LICENSE for details.
 """
 
-import select
 from collections import deque
+from select import POLLHUP, POLLIN
 
 import gevent
 from gevent import socket
@@ -17,6 +17,7 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.httpd import check_framing, split_header_block
+from hingepitch.patch import poll_at_once
 from hingepitch.request import Answer, Failure, Run
 
 __all__ = ["MinionConnections"]
@@ -240,6 +241,6 @@
 
 def is_readable(sock):
     """Whether anything, also an end, has come on an idle connection."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
+    poll = poll_at_once()
+    poll.register(sock.fileno(), POLLIN | POLLHUP)
     return bool(poll.poll(0))
--- a/hingepitch/logsink.py
+++ b/hingepitch/logsink.py
@@ -14,15 +14,12 @@
 from select import POLLOUT
 
 import gevent
-from gevent.monkey import get_original
 
 from hingepitch.clock import lease_seconds
+from hingepitch.patch import poll_at_once
 
 __all__ = ["EventLimit", "LineBuffer"]
 
-#: The patched one lets other greenlets run.
-poll = get_original("select", "poll")
-
 #: Lines that the stream has not taken are kept up to this size, in bytes, about a
 #: second of lines under full load; later ones are dropped and counted.
 MAX_KEPT_BYTES = 262_144
@@ -94,7 +91,7 @@
         self.lines = deque()
         self.size = 0
         self.dropped = 0
-        self.poll = poll()
+        self.poll = poll_at_once()
         self.poll.register(self.fd, POLLOUT)
 
     def write(self, line):
--- a/hingepitch/patch.py
+++ b/hingepitch/patch.py
@@ -10,7 +10,11 @@
 
 from gevent import config, monkey
 
-__all__ = ["patch_program"]
+__all__ = ["patch_program", "poll_at_once"]
+
+#: Makes a poll that asks the system itself. A patched one waits in the hub until
+#: no other greenlet is ready, even for no time.
+poll_at_once = monkey.get_original("select", "poll")
 
 
 def patch_program():
--- a/tests/logging_program.py
+++ b/tests/switch_program.py
@@ -1,10 +1,13 @@
-"""A patched program that logs beside busy greenlets; prints what gave way.
+"""A patched program that does one thing beside busy greenlets.
 
-usage: python -m tests.logging_program READER
+Prints how often others ran within it.
+
+usage: python -m tests.switch_program THING
 """
 
 import os
 import sys
+from functools import partial
 
 from hingepitch.patch import patch_program
 
@@ -12,11 +15,14 @@
 
 import gevent
 import greenlet
+from gevent import socket
 from gevent.os import make_nonblocking, nb_read
 
 from hingepitch.app import run_logged
+from hingepitch.exchange import MinionConnections
 from hingepitch.log import log_event
 from hingepitch.logsink import MAX_KEPT_BYTES
+from hingepitch.metric import Metrics
 
 LINES = 600
 
@@ -95,14 +101,39 @@
         pass
 
 
-READERS = {"quick": read_all, "slow": read_slowly, "full": None, "gone": None}
+def count_beside_others(function):
+    """Return how often others ran while `function` was called, again and again."""
+    other = gevent.spawn(LoggingProgram().be_busy)
+    gevent.sleep(0.01)
+    with SwitchCount() as switches:
+        for _ in range(LINES):
+            function()
+    other.kill()
+    return switches.count
+
+
+def take_connection():
+    """Take an idle connection, and give it back."""
+    ours, _ = socket.socketpair()
+    connections = MinionConnections(("127.0.0.1", 1))
+    connections.give_back(ours)
+    return count_beside_others(lambda: connections.give_back(connections.take()))
+
+
+def note_metrics():
+    """Count, set and time."""
+    metrics = Metrics("switches")
 
+    def note():
+        metrics.count("orders", "Orders.", order="start")
+        metrics.set("waiting", "Tasks.", 3)
+        metrics.observe("seconds", "Time.", 0.5)
 
-def main(reader):
-    """Run the program with a reader of its log of one kind."""
-    if reader == "errors":
-        run_logged(FailingProgram(), sys.stderr)
-        return
+    return count_beside_others(note)
+
+
+def log_beside(reader):
+    """Log with a reader of one kind."""
     source, sink = os.pipe()
     read = READERS[reader]
     if read is not None:
@@ -113,8 +144,23 @@
     program = LoggingProgram()
     with os.fdopen(sink, "wb", buffering=0) as stream:
         run_logged(program, stream)
-    print(program.switches)
+    return program.switches
+
+
+def fail_unseen():
+    """Fail in many greenlets."""
+    run_logged(FailingProgram(), sys.stderr)
+    return 0
+
+
+READERS = {"quick": read_all, "slow": read_slowly, "full": None, "gone": None}
 
+THINGS = {
+    "connection": take_connection,
+    "metrics": note_metrics,
+    "errors": fail_unseen,
+    **{reader: partial(log_beside, reader) for reader in READERS},
+}
 
 if __name__ == "__main__":
-    main(sys.argv[1])
+    print(THINGS[sys.argv[1]]())
--- a/tests/test_log_gives_way.py
+++ b/tests/test_switches.py
@@ -1,4 +1,4 @@
-"""A log line is an append: code that counts on being one step may log."""
+"""What lets no other greenlet run, so that code in one step may call it."""
 
 import subprocess
 import sys
@@ -11,19 +11,33 @@
 LONGEST_SECONDS = 60
 
 
-def command(reader):
-    return [sys.executable, "-m", "tests.logging_program", reader]
+def command(thing):
+    return [sys.executable, "-m", "tests.switch_program", thing]
+
+
+def count_switches(thing):
+    done = subprocess.run(
+        command(thing), cwd=ROOT, capture_output=True, timeout=LONGEST_SECONDS
+    )
+    assert done.returncode == 0, done.stderr
+    return int(done.stdout)
 
 
 # Guards against a leader's loop over shared state that another greenlet changes
 # while a line is written.
 @pytest.mark.parametrize("reader", ["quick", "slow", "full", "gone"])
 def test_a_log_line_lets_no_other_greenlet_run(reader):
-    done = subprocess.run(
-        command(reader), cwd=ROOT, capture_output=True, timeout=LONGEST_SECONDS
-    )
-    assert done.returncode == 0, done.stderr
-    assert done.stdout == b"0\n"
+    assert count_switches(reader) == 0
+
+
+# Guards against an order or a look that waits for every other greenlet first.
+def test_taking_an_idle_connection_lets_no_other_greenlet_run():
+    assert count_switches("connection") == 0
+
+
+# Guards against a decision that is torn where it is counted.
+def test_a_metric_lets_no_other_greenlet_run():
+    assert count_switches("metrics") == 0
 
 
 # Guards against a program that stands still because nobody reads its errors.
