Every end of a run says what shows it

The lines told the result only: 'refused' stood for an order that was refused and for one that was never given, 'lost' for a stop and for a lease, and a life that another one replaced was removed without a line.

run_ended has cause= now (listed, not_ordered, refused, stopped, lapsed), minion_removed is logged for every removal of a life, with the number of runs that ended with it, and the counter end_causes counts them. No decision is changed.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -18,6 +18,7 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.jobs.answer import AnswerTime
 from hingepitch.jobs.blame import is_proven, is_starting
+from hingepitch.jobs.cause import EndCause
 from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.contact import (
     REFUSALS,
@@ -238,7 +239,7 @@
 
     def drop_fresh(self, view):
         """End a run that was recorded, but is no longer wanted."""
-        self.end(view, RunResult.REFUSED)
+        self.end(view, RunResult.REFUSED, EndCause.NOT_ORDERED)
 
     def order_start(self, view):
         """Order the start of a run, and learn what became of it."""
@@ -247,7 +248,7 @@
         if not self.is_silent:
             order = self.session.start_order(view.run, self.lease_until_ms())
         if order is None:
-            self.end(view, RunResult.REFUSED)
+            self.end(view, RunResult.REFUSED, EndCause.NOT_ORDERED)
             return
         view.status = RunViewStatus.ORDERED
         self.extend_lease()
@@ -271,7 +272,7 @@
             self.looks.wake.set()
         else:
             self.set_aside()
-            self.end(view, RunResult.REFUSED)
+            self.end(view, RunResult.REFUSED, EndCause.REFUSED)
 
     def ask_start(self, view, order):
         """Order a start, and once more beside it if its answer takes too long.
@@ -388,12 +389,11 @@
             self.silent_since = lease_seconds()
         self.is_silent = is_silent
 
-    def end(self, view, result, checkpoint=""):
-        """Record that a run is over."""
+    def end(self, view, result, cause, checkpoint=""):
+        """Record that a run is over, as `cause` shows."""
         run = view.run
-        self.session.end_runs(
-            (RunEnd(run.task, run.number, run.minion, result, checkpoint),)
-        )
+        end = RunEnd(run.task, run.number, run.minion, result, checkpoint)
+        self.session.end_runs((end,), cause)
 
     # The lease.
 
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -56,10 +56,13 @@
             if job is not None and not job.spec.times:
                 self.observe_since("first_start_seconds", job, wall_ms())
 
-    def note_ends(self, ends, at_ms):
-        """Count ends by their result, and time the jobs that they end."""
+    def note_ends(self, ends, cause, at_ms):
+        """Count ends by their result and cause, and time the jobs that they end."""
         for end in ends:
             self.metrics.count("runs_ended", "Runs by end.", result=end.result.value)
+        self.metrics.count(
+            "end_causes", "Runs by what shows their end.", len(ends), cause=cause.value
+        )
         for job_id in {end.task.job for end in ends}:
             job = self.session.table.job_by_id.get(job_id)
             if job is not None and not job.is_open and job.ended_ms == at_ms:
--- a/hingepitch/jobs/look.py
+++ b/hingepitch/jobs/look.py
@@ -14,6 +14,7 @@
 from gevent.lock import BoundedSemaphore
 
 from hingepitch.clock import lease_seconds
+from hingepitch.jobs.cause import EndCause
 from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.contact import LookOrder, ReplyKind
 from hingepitch.jobs.record import RunResult
@@ -252,7 +253,7 @@
         self.mark_ended(known)
         self.agent.session.watch.note_ends(self.agent, known)
         self.log_lapse(known)
-        if not known or self.agent.session.end_runs(known):
+        if not known or self.agent.session.end_runs(known, EndCause.LISTED):
             self.ends_taken = max(self.ends_taken, *(one.sequence for one in ended))
 
     def mark_ended(self, ends):
@@ -287,9 +288,8 @@
             if not self.is_recorded(view.run):
                 continue
             if view.status is RunViewStatus.STOPPED and sent_at > view.answered_at:
-                self.agent.end(
-                    view, RunResult.LOST, view.row.checkpoint if view.row else ""
-                )
+                saved = view.row.checkpoint if view.row else ""
+                self.agent.end(view, RunResult.LOST, EndCause.STOPPED, saved)
             elif view.status is RunViewStatus.INHERITED:
                 view.status = RunViewStatus.UNSURE
             elif view.status is RunViewStatus.RUNNING and sent_at > view.answered_at:
@@ -316,4 +316,4 @@
             log_event("minion_lapsed", minion=minion, runs=len(ends), kept=kept)
         if ends:
             self.agent.session.suspect(self.agent.minion.id)
-            self.agent.session.end_runs(tuple(ends))
+            self.agent.session.end_runs(tuple(ends), EndCause.LAPSED)
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -238,7 +238,11 @@
         if before != minion.id:
             self.suspect(before)
         blame = self.table.crashes.blame_by_life.get(before, NO_BLAME)
+        runs = len(self.table.runs_by_minion.get(before, ()))
         self.propose(Role.DISPATCHER, RegisterMinion(minion, wall_ms()))
+        if before != minion.id:
+            reason = f"{minion.id} came"
+            log_event("minion_removed", minion=before, reason=reason, runs=runs)
         log_given_up(self.table, before, blame)
 
     def suspect(self, life):
@@ -283,8 +287,9 @@
 
     @answer.register
     def _(self, question: questions.NoteLeaving):
+        runs = len(self.table.runs_by_minion.get(question.id, ()))
         self.propose(Role.DISPATCHER, RemoveMinion(question.id, wall_ms()))
-        log_event("minion_removed", minion=question.id, reason="left")
+        log_event("minion_removed", minion=question.id, reason="left", runs=runs)
 
     @answer.register
     def _(self, question: questions.JoinGroup):
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -221,15 +221,15 @@
             run=row.number,
         )
 
-    def end_runs(self, ends):
-        """Record that runs are over; return whether that is committed."""
+    def end_runs(self, ends, cause):
+        """Record that runs are over, as `cause` shows; return whether committed."""
         at_ms = wall_ms()
         for end in ends:
             self.note_duration(end, at_ms)
             self.note_restart(end, at_ms)
         if not self.propose(EndRuns(ends, at_ms)):
             return False
-        self.gauge.note_ends(ends, at_ms)
+        self.gauge.note_ends(ends, cause, at_ms)
         for end in ends:
             log_event(
                 "run_ended",
@@ -238,6 +238,7 @@
                 run=end.number,
                 minion=end.minion,
                 result=end.result.value,
+                cause=cause.value,
             )
         return True
 
@@ -267,7 +268,8 @@
         """Record that a life of a minion is over; return whether it is."""
         if minion_id not in self.table.minion_by_id:
             return True
-        log_event("minion_removed", minion=minion_id, reason=reason)
+        runs = len(self.runs_of(minion_id))
+        log_event("minion_removed", minion=minion_id, reason=reason, runs=runs)
         self.suspect(minion_id)
         blame = self.table.crashes.blame_by_life.get(minion_id, NO_BLAME)
         is_over = self.propose(RemoveMinion(minion_id, wall_ms()))
