Only its own answer shows that a life is present

Could be seen: two runs of a task at once. A first heartbeat that was held back, of a life that is over, ends the life on its VM if it answers a call; any answer but a refusal by another life counted. An unhealthy minion (429, 503) refuses before it looks for whom a call is, so the one that has the address now answered for the earlier life: the living one was removed, its runs counted as over and were started elsewhere while it worked.

Only 'done' and 'fenced' show the life; one that is present but unhealthy beats again.

--- a/hingepitch/jobs/agentbook.py
+++ b/hingepitch/jobs/agentbook.py
@@ -17,8 +17,9 @@
 
 __all__ = ["AgentBook"]
 
-#: Replies that do not come from the life that was called.
-ABSENT_KINDS = frozenset((ReplyKind.UNSURE, ReplyKind.NOT_SENT, ReplyKind.OTHER_LIFE))
+#: Replies that only the life gives that was called; an unhealthy minion refuses
+#: before it looks for whom a call is.
+PRESENT_KINDS = frozenset((ReplyKind.DONE, ReplyKind.FENCED))
 
 
 class AgentBook:
@@ -103,7 +104,7 @@
             look = client.look(LookOrder(self.session.fence, 0), MOST_SECONDS)
         finally:
             client.close()
-        return look.reply.kind not in ABSENT_KINDS
+        return look.reply.kind in PRESENT_KINDS
 
     def close(self):
         """Close the connections of all agents; their loops end with the session."""
--- a/tests/test_earlier_life.py
+++ b/tests/test_earlier_life.py
@@ -38,6 +38,7 @@
     minions = {}
     here = Rig(*add(minions, MemoryMinion(task_seconds=600)), connect=find(minions))
     here.by_life = minions
+    here.beats = 0
     here.service = JobService(here.replica, here.roster, None, "test")
     here.submit(Step(1))
     assert wait_until(lambda: here.minions[0].running, SECONDS)
@@ -58,11 +59,20 @@
     """Hear `minion`, as a life on the VM of the first one."""
     add(rig.by_life, minion)
     record = make_minion(0, id=minion.life, cpu_millicores=16_000)
-    rig.service.answer(NoteBeat(record, 1, minion.clock_ms()))
+    rig.beats += 1
+    rig.service.answer(NoteBeat(record, rig.beats, minion.clock_ms()))
 
 
+# Guards also against an answer that another minion gives at the same address.
 @pytest.mark.parametrize(
-    "kind", [ReplyKind.UNSURE, ReplyKind.NOT_SENT, ReplyKind.OTHER_LIFE]
+    "kind",
+    [
+        ReplyKind.UNSURE,
+        ReplyKind.NOT_SENT,
+        ReplyKind.OTHER_LIFE,
+        ReplyKind.UNHEALTHY,
+        ReplyKind.BAD_ORDER,
+    ],
 )
 def test_a_late_heartbeat_of_an_earlier_life_ends_nothing(rig, kind):
     present = rig.minions[0]
