A life whose record takes long ends no later one

Could be seen: two runs of a task at once. The first heartbeat of a life that takes over a VM is asked for its presence, then the crash of the life before is recorded, then the life itself: two commits, up to 4 s each while the core is unstable. If the life ended meanwhile and the next one of the VM was registered and given runs, the late record ended that one: its runs were started elsewhere while it worked.

Evidence: test_a_life_that_is_recorded_late_ends_no_later_one, red before (the lines show minion_removed of the latest life, reason: the brief one came).

Fix: one life at a time takes over a VM, from its question to its record; the next one is refused and beats again (life_absent with Retry-After). This holds within a leadership; between two, the log's order does.

--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -54,8 +54,8 @@
         Name of this process, for the envelopes.
     `accepting`
         Jobs on their way into the log, as `AsyncResult` by id.
-    `asking_lives`
-        Lives that are being asked whether they are present.
+    `vms_changing`
+        VMs of which a life is being asked or recorded that ends another one.
     """
 
     def __init__(self, replica, roster, members, name):
@@ -65,7 +65,7 @@
         self.name = name
         self.confirmed_at = 0.0
         self.accepting = {}
-        self.asking_lives = set()
+        self.vms_changing = set()
 
     @property
     def table(self):
@@ -216,11 +216,31 @@
             return
         if known is None or known.pool != minion.pool:
             self.need_pool(minion)
-        if known is None:
+        if known is None and minion.vm in self.table.life_by_vm:
+            self.take_over(minion, question)
+        else:
+            self.take_beat(minion, question)
+
+    def take_over(self, minion, beat):
+        """Take the first beat of a life that ends another one, if it is present.
+
+        One at a time for each VM: a life whose record takes long may be over by
+        then, and would end the one that came after it.
+        """
+        if minion.vm in self.vms_changing:
+            raise HingepitchError("life_absent", minion.id, RETRY_AFTER_MS)
+        self.vms_changing.add(minion.vm)
+        try:
             self.need_present(minion)
-        if not self.roster.note(question):
+            self.take_beat(minion, beat)
+        finally:
+            self.vms_changing.discard(minion.vm)
+
+    def take_beat(self, minion, beat):
+        """Note a beat, and record what the minion says of itself if it is new."""
+        if not self.roster.note(beat):
             return
-        if known != minion:
+        if self.table.minion_by_id.get(minion.id) != minion:
             self.register(minion)
             log_event(
                 "minion_registered",
@@ -228,9 +248,9 @@
                 vm=minion.vm,
                 pool=minion.pool,
                 draining=minion.is_draining,
-                sequence=question.sequence,
+                sequence=beat.sequence,
             )
-        self.roster.tell(minion.id, question.clock_ms)
+        self.roster.tell(minion.id, beat.clock_ms)
 
     def register(self, minion):
         """Record what a minion says of itself; a new life ends the one before."""
@@ -259,26 +279,13 @@
         ended by it, the runs of the other were started a second time. A life
         that is sound beats again, or at another replica.
         """
-        other = self.table.life_by_vm.get(minion.vm)
-        if other is None or self.is_present_beside(minion, other):
+        other = self.table.life_by_vm[minion.vm]
+        is_present = self.roster.is_present(minion)
+        if is_present and self.table.life_by_vm.get(minion.vm) == other:
             return
         log_event("life_not_present", minion=minion.id, vm=minion.vm, other=other)
         raise HingepitchError("life_absent", minion.id, RETRY_AFTER_MS)
 
-    def is_present_beside(self, minion, other):
-        """Whether a life answers, and `other` is still the one on its VM then.
-
-        One call at a time: beats that were held back come in numbers.
-        """
-        if minion.id in self.asking_lives:
-            return False
-        self.asking_lives.add(minion.id)
-        try:
-            is_present = self.roster.is_present(minion)
-        finally:
-            self.asking_lives.discard(minion.id)
-        return is_present and self.table.life_by_vm.get(minion.vm) == other
-
     def need_pool(self, minion):
         """Refuse a minion of a pool that the configuration does not name."""
         config = self.table.config
--- a/tests/test_earlier_life.py
+++ b/tests/test_earlier_life.py
@@ -11,9 +11,11 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
+from hingepitch.jobs.command import SuspectLife
 from hingepitch.jobs.contact import Look, Reply, ReplyKind
 from hingepitch.jobs.question import NoteBeat
 from hingepitch.jobs.service import JobService
@@ -100,3 +102,50 @@
     record = make_minion(5, id=other.life)
     rig.service.answer(NoteBeat(record, 1, other.clock_ms()))
     assert rig.log.table.life_by_vm["vm-5"] == other.life
+
+
+class HeldReplica:
+    """A replica whose first record of a suspicion takes until `release`."""
+
+    def __init__(self, replica):
+        self.replica = replica
+        self.release = Event()
+        self.is_held = False
+
+    def __getattr__(self, name):
+        return getattr(self.replica, name)
+
+    def propose(self, envelope):
+        if isinstance(envelope.command, SuspectLife) and not self.is_held:
+            self.is_held = True
+            self.release.wait()
+        return self.replica.propose(envelope)
+
+
+# Guards against two runs at once: a life whose record takes long, and that ends
+# meanwhile, ended the life that came after it.
+def test_a_life_that_is_recorded_late_ends_no_later_one(rig):
+    held = rig.service.replica = HeldReplica(rig.replica)
+    brief = GoneMinion()
+    brief.reply_kind = ReplyKind.DONE
+    recording = gevent.spawn(try_beat, rig, brief)
+    assert wait_until(lambda: held.is_held, SECONDS)
+    brief.reply_kind = ReplyKind.OTHER_LIFE
+    latest = MemoryMinion(task_seconds=600)
+    try_beat(rig, latest)
+    held.release.set()
+    recording.join()
+    assert wait_until(lambda: try_beat(rig, latest), SECONDS)
+    assert wait_until(lambda: latest.begun, SECONDS)
+    gevent.sleep(0.2)
+    assert rig.log.table.run_by_task[task()].minion == latest.life
+    assert rig.log.table.life_by_vm["vm-0"] == latest.life
+
+
+def try_beat(rig, minion):
+    """Hear a minion; return whether its life is the one on its VM then."""
+    try:
+        beat(rig, minion)
+    except HingepitchError:
+        return False
+    return rig.log.table.life_by_vm["vm-0"] == minion.life
