A group in the middle of an upgrade does not rest: those that cannot serve hand on what they have

Cause: an entry that only the later version reads is committed by the three earlier ones. Their leader then steps down and none of them stands again, while both later ones lack entries, so that nobody may vote for them: the group rests for good, or until a late message brings the later ones up to date. The slower the machine, the more the later ones lag, which is why it showed beside load only.

Fix: a replica that may not serve keeps the office it has as a caretaker, or stands after three election time-outs without a leader; it takes nothing new, brings the others up to date and has the next one stand that has everything.

test_a_replica_that_cannot_read_an_entry_keeps_it_votes_and_does_not_lead expected that a replica behind it never leads; now that one catches up from it and leads with all three pools, which is asserted, as is that the one that cannot read never serves. What it kept is still read by the later version.

--- a/hingepitch/control/consensus.py
+++ b/hingepitch/control/consensus.py
@@ -59,6 +59,13 @@
 #: Ticks between the rounds of a leader.
 HEARTBEAT_TICKS = 2
 
+#: Election time-outs without a leader after which a replica that may not serve
+#: stands as well: those that may have had their turn, and lack what it has.
+CARETAKER_ELECTIONS = 3
+
+#: Ticks between two hand-overs of a caretaker; an election takes fewer.
+HAND_OVER_TICKS = 4
+
 #: Ticks after which a snapshot that was not acknowledged is sent again.
 SNAPSHOT_RETRY_TICKS = 50
 
@@ -118,7 +125,12 @@
     leads, all that was written ahead must be durable before it sends.
 
     `may_lead`
-        False for a replica that stores and votes, but cannot apply the log.
+        False for a replica that stores and votes, but cannot apply the log. As
+        the leader it is a caretaker: it replicates what it has, takes nothing
+        new, and hands over to one that has it all.
+    `missed_elections`
+        Election time-outs in a row in which a replica that may not serve heard
+        of no leader.
     `durable_index`
         Up to which entry this replica's own disk has the log, while it leads.
     """
@@ -135,6 +147,8 @@
         self.durable_index = self.log.last_index
         self.role = FOLLOWER
         self.may_lead = True
+        self.missed_elections = 0
+        self.last_heir = ""
         self.membership = MemberHistory(recovered.snapshot_index, recovered.members)
         for entry in recovered.entries:
             self.note_members(entry)
@@ -176,6 +190,11 @@
         """Return the members in force at `index`."""
         return self.membership.at(index)
 
+    @property
+    def serves(self):
+        """Whether this replica leads and takes commands and reads."""
+        return self.role == LEADER and self.may_lead
+
     # Events.
 
     @singledispatchmethod
@@ -193,7 +212,7 @@
 
     @handle.register
     def _(self, event: Propose):
-        if self.role != LEADER or self.transferring:
+        if not self.serves or self.transferring:
             for token in event.tokens:
                 self.do(Refuse(token, "not_leader"))
             return
@@ -208,7 +227,7 @@
 
     @handle.register
     def _(self, event: ProposeMembers):
-        if self.role != LEADER or self.transferring:
+        if not self.serves or self.transferring:
             self.do(Refuse(event.token, "not_leader"))
             return
         code = self.members_fault(event.members)
@@ -223,7 +242,7 @@
 
     @handle.register
     def _(self, event: ReadRequest):
-        if self.role != LEADER or not self.has_committed_in_term():
+        if not self.serves or not self.has_committed_in_term():
             self.do(Refuse(event.token, "not_leader"))
             return
         self.sequence += 1
@@ -247,7 +266,11 @@
     @handle.register
     def _(self, event: MayLead):
         self.may_lead = event.is_allowed
-        if not self.may_lead and self.role != FOLLOWER:
+        if self.may_lead:
+            return
+        if self.role == LEADER:
+            self.refuse_reads()
+        elif self.role != FOLLOWER:
             self.become_follower(self.term, "")
 
     @handle.register
@@ -303,7 +326,7 @@
         self.election_ticks = self.draw_election_ticks()
         if self.identity not in self.voters:
             return
-        if not self.may_lead:
+        if not self.may_lead and not self.is_needed_as_caretaker():
             # Its vote is free for another one from now on.
             self.set_role(FOLLOWER, "")
             return
@@ -315,6 +338,11 @@
         for receiver in self.other_voters():
             self.send_vote(MessageKind.PRE_VOTE, receiver, self.term + 1)
 
+    def is_needed_as_caretaker(self):
+        """Count one more time-out; whether nobody else has led for too long."""
+        self.missed_elections += 1
+        return self.missed_elections >= CARETAKER_ELECTIONS
+
     def start_election(self, transferred=False):
         """Ask for votes in a new term."""
         self.term += 1
@@ -401,6 +429,8 @@
     def set_role(self, role, leader):
         """Take a role; tell the driver if something changed."""
         self.has_heard_leader = self.has_heard_leader or bool(leader)
+        if leader:
+            self.missed_elections = 0
         changed = (role, leader) != (self.role, self.leader)
         self.role = role
         self.leader = leader
@@ -450,9 +480,23 @@
             progress.probe_ticks = max(0, progress.probe_ticks - 1)
         if self.quiet_ticks % HEARTBEAT_TICKS == 0:
             self.broadcast()
+        if not self.may_lead and self.quiet_ticks % HAND_OVER_TICKS == 0:
+            self.hand_over()
         if self.quiet_ticks >= ELECTION_TICKS[0]:
             self.check_quorum()
 
+    def hand_over(self):
+        """Have the next follower stand that has all; one that may not lead waits."""
+        heirs = sorted(
+            identity
+            for identity, progress in self.progress_by_identity.items()
+            if identity in self.voters and progress.match_index == self.log.last_index
+        )
+        if heirs:
+            later = (identity for identity in heirs if identity > self.last_heir)
+            self.last_heir = next(later, heirs[0])
+            self.send(MessageKind.CAMPAIGN_NOW, self.last_heir)
+
     def check_quorum(self):
         """Step down unless a quorum has answered since the last check."""
         active = [
--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -290,7 +290,7 @@
     @property
     def is_leader(self):
         """Whether this replica leads, as far as it knows."""
-        return self.core.role == "leader"
+        return self.core.serves
 
     def leader_address(self):
         """Return the address of the leader, or raise `no_leader`."""
--- a/tests/test_unread_entry.py
+++ b/tests/test_unread_entry.py
@@ -194,17 +194,20 @@
     assert earlier.is_running
     assert not earlier.replica.is_leader
     assert pools(earlier.replica) == {"first"}
-    # Alone with one that is behind it, it does not lead either.
+    # Alone with one that is behind it, it never serves, and hands on what it has.
     group.stop("b")
     group.start("a")
     for _ in range(MANY_TICKS):
         group.tick()
         assert not earlier.replica.is_leader
+    group.wait(lambda: group.leader() is group.node_by_name["a"].replica)
+    everything = {"first", f"{LATER}-1", "after"}
+    assert pools(group.node_by_name["a"].replica) == everything
+    assert not earlier.replica.is_leader
     # What it kept is read by the later version.
     group.stop("c")
     group.start("c")
-    group.wait(lambda: group.leader() is group.node_by_name["c"].replica)
-    assert pools(group.node_by_name["c"].replica) == {"first", f"{LATER}-1", "after"}
+    assert pools(group.lead("c")) == everything
 
 
 def test_a_leader_that_cannot_read_what_it_committed_hands_over(make_group):
