A replica that waits for its data folder refuses messages, so that a state is sent again

Seen by reading, listed as open: a control that waits for its folder took a whole state and dropped it. Its sender waits 5 s (50 ticks) before it sends another one, and a group that needs this replica rests until then.

Cause: Replica.receive drops what comes before the folder is open, and the call answered as if it had been taken.

Evidence: test_a_replica_that_waits_for_its_folder_takes_no_state, red before (nothing was told as lost). Fix: deliver refuses with storage_failed before it takes any message; the sender tells the replica that they were lost, as for one that cannot be reached, and the state is sent again once the receiver answers a round.

--- a/hingepitch/control/handler.py
+++ b/hingepitch/control/handler.py
@@ -40,7 +40,13 @@
         self.jobs = jobs
 
     def deliver(self, messages):
-        """Take messages of another replica."""
+        """Take messages of another replica.
+
+        Refuses all of them while there is no folder to keep them in: a state that
+        was taken and dropped would not be sent again for seconds.
+        """
+        if not self.replica.is_open:
+            raise HingepitchError("storage_failed", self.replica.unread)
         for wire in messages:
             self.replica.receive(from_wire(wire))
 
--- a/hingepitch/control/peer.py
+++ b/hingepitch/control/peer.py
@@ -30,6 +30,9 @@
 MAX_BATCH_BYTES = 2_000_000
 PAUSE_AFTER_FAILURE_SECONDS = 0.2
 
+#: Codes after which the other side has surely taken none of the messages.
+UNTAKEN_CODES = frozenset(("peer_unreachable", "storage_failed"))
+
 
 def to_wire(message):
     """Return a `Message` as its thrift form."""
@@ -196,7 +199,7 @@
                 address = link.client.address
                 log_event("peer_unreachable", address=address, error=error.detail)
             link.reachable = False
-            self.drop(batch if error.code == "peer_unreachable" else ())
+            self.drop(batch if error.code in UNTAKEN_CODES else ())
             self.drop(link.messages)
             link.messages.clear()
             gevent.sleep(PAUSE_AFTER_FAILURE_SECONDS)
--- a/tests/test_snapshot_on_its_way.py
+++ b/tests/test_snapshot_on_its_way.py
@@ -9,11 +9,14 @@
 it and steps down; the next leader sends the whole state to everyone again.
 """
 
+from types import SimpleNamespace
+
 import gevent
 import pytest
 
 from hingepitch.control import peer
 from hingepitch.control.consensus import Consensus
+from hingepitch.control.handler import ControlHandler
 from hingepitch.control.message import (
     Entry,
     EntryKind,
@@ -140,6 +143,32 @@
     assert lost == sent
 
 
+class WaitingReplica(DeadReplica):
+    """A replica that waits for its data folder."""
+
+    def __init__(self):
+        self.taken = []
+        replica = SimpleNamespace(
+            is_open=False, unread="not open", receive=self.taken.append
+        )
+        self.handler = ControlHandler(replica, None, None)
+
+    def call(self, method, *arguments):
+        return getattr(self.handler, method)(*arguments)
+
+
+# Guards against a state that is taken and dropped: it is not sent again for 5 s.
+def test_a_replica_that_waits_for_its_folder_takes_no_state():
+    links = PeerLinks("n0", "key")
+    lost = []
+    links.on_lost = lost.append
+    waiting = WaitingReplica()
+    sent = [Message(MessageKind.SNAPSHOT, "n0", "n1", 1)]
+    links.deliver(Link(waiting), sent)
+    assert lost == sent
+    assert not waiting.taken
+
+
 class SlowReplica(DeadReplica):
     """A replica to which the whole state takes long."""
 
