The answer to a move ends no life that has come by that move

Could be seen: two runs of a task at once, eleven tasks at a time. A new leader orders the moves again that an earlier one had begun. The order looked up the life on the VM when its greenlet began, not when the move was found recorded. If the VM came to its pool in between, that was the new life: the move was over, the fresh VM got runs, and then the platform answered that the move had been done, which ended the new life and its runs in the table. They were started elsewhere while it worked, and its heartbeats counted for nothing from then on. No line told that a move had removed a life.

Evidence: test_a_move_that_was_done_before_ends_no_life_that_came_by_it, red before (the new life is gone from the table).

Fix: an order goes out, and a life is looked up for it, only while the move is recorded; then nothing runs on that life, and nothing may start there. minion_removed is logged for moves too, with the runs that end.

--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -288,8 +288,15 @@
         self.session.spawn_apart("move", self.call, vm, pool)
 
     def call(self, vm, pool):
-        """Order a move and record what became of it."""
+        """Order a move and record what became of it.
+
+        The life that the move ends is the one that is there while it is recorded.
+        Once the VM has come to its pool the move is over: the platform answers
+        that it is done, and the life there now has runs.
+        """
         try:
+            if self.session.table.move_by_vm.get(vm) != pool:
+                return
             life = self.session.table.life_by_vm.get(vm)
             reply = self.platform.move(
                 vm, pool, self.session.name, self.session.fence, CALL_SECONDS
@@ -359,6 +366,8 @@
         self.idle_since_by_vm.pop(vm, None)
         config_pool = self.session.table.config.pool(pool)
         if life is not None:
+            runs = len(self.session.runs_of(life))
+            log_event("minion_removed", minion=life, reason="moved", runs=runs)
             self.session.propose(RemoveMinion(life, wall_ms()))
         if config_pool is not None and config_pool.is_spare:
             self.spare_vms[vm] = pool
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -418,6 +418,18 @@
         (("jobs/service.py", "if minion.vm in self.vms_changing:", "if False:"),),
         "recorded_late_ends_no_later_one",
     ),
+    Fault(
+        "jobs",
+        "a move that was done before ends the life that came by it",
+        (
+            (
+                "jobs/mover.py",
+                "if self.session.table.move_by_vm.get(vm) != pool:",
+                "if False:",
+            ),
+        ),
+        "ends_no_life_that_came_by_it",
+    ),
     Fault(
         "jobs",
         "a refusal speaks for both orders of a start",
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -256,3 +256,23 @@
     rig.log.table.has_had_work = True
     assert not desk.demand.is_known(now)
     assert desk.demand.wanted("pool", nothing, now + 1) == TERMS.floor
+
+
+# Guards against two runs at once: the answer to a move that an earlier leader had
+# ordered already ended the life that had come by it, beneath its runs.
+def test_a_move_that_was_done_before_ends_no_life_that_came_by_it(rig):
+    api = FleetApi({"vm-0": "pool", "vm-1": "pool"})
+    session = rig.dispatcher.session
+    desk = MoveDesk(session, api, TERMS, MOVE_SECONDS)
+    rig.log.send(commands.BeginMove("vm-0", "pool"))
+    latest = TaskMinion()
+    record = make_minion(
+        0, id=latest.life, address=latest.address, cpu_millicores=16_000
+    )
+    desk.call_once_at_a_time("vm-0", "pool")
+    # It is registered before the order goes out.
+    rig.log.send(commands.RegisterMinion(record, 0))
+    rig.replica.wake()
+    assert wait_until(lambda: not desk.calling, SECONDS)
+    assert latest.life in rig.log.table.minion_by_id
+    latest.close()
