--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -296,6 +296,7 @@
         """
         try:
             if self.session.table.move_by_vm.get(vm) != pool:
+                log_event("move_step", vm=vm, pool=pool, reply="over already")
                 return
             life = self.session.table.life_by_vm.get(vm)
             reply = self.platform.move(
