Loops of the leader hold where a line gives way within them

Copies are walked in evacuate, leave_draining, stop_hung and AgentBook.match.

test_a_wave_goes_on_where_every_line_gives_way was red before (the wave's attempt failed: session_failures counted). A check of all decisions with a switch forced at each line is not made; this one covers a wave over lasting tasks.

--- a/hingepitch/jobs/agentbook.py
+++ b/hingepitch/jobs/agentbook.py
@@ -49,7 +49,7 @@
             if minion_id not in table.minion_by_id:
                 agent.stop()
                 del self.by_minion[minion_id]
-        for minion_id, minion in table.minion_by_id.items():
+        for minion_id, minion in list(table.minion_by_id.items()):
             agent = self.by_minion.get(minion_id) or self.meet(minion)
             if agent is not None:
                 agent.minion = minion
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -181,7 +181,7 @@
             if not runs:
                 self.begin(wave, vm)
             else:
-                self.evacuate(runs.values(), now - since > patience)
+                self.evacuate(list(runs.values()), now - since > patience)
 
     def evacuate(self, runs, is_late):
         """Stop the lasting tasks that may be away, and what is too slow."""
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -186,7 +186,7 @@
 
     def stop_hung(self, agent):
         """Stop the tasks that stand still, so that they go on elsewhere."""
-        for view in agent.view_by_task.values():
+        for view in list(agent.view_by_task.values()):
             step = self.session.step_of(view.run)
             if view.row is None or step is None or step.lasts:
                 continue
@@ -237,10 +237,10 @@
 
     def leave_draining(self):
         """Stop the lasting tasks on minions that drain: they would end anyway."""
-        for minion in self.session.table.minion_by_id.values():
+        for minion in list(self.session.table.minion_by_id.values()):
             if not minion.is_draining or minion.id not in self.session.agent_by_minion:
                 continue
-            for run in self.session.runs_of(minion.id).values():
+            for run in list(self.session.runs_of(minion.id).values()):
                 step = self.session.step_of(run)
                 if step and step.lasts and self.session.is_wanted(run):
                     self.evacuate(run, "the minion drains")
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -5,7 +5,13 @@
 
 from hingepitch.clock import wall_ms
 from hingepitch.httpd import wait_until
-from hingepitch.jobs import command as commands, upkeep as upkeep_module
+from hingepitch.jobs import (
+    agent as agent_module,
+    command as commands,
+    session as session_module,
+    upkeep as upkeep_module,
+    watch as watch_module,
+)
 from hingepitch.jobs.fleet import FleetReply, VmList, VmRow, VmState
 from hingepitch.jobs.record import JobStatus, UpkeepStage
 from hingepitch.jobs.spec import Step
@@ -262,3 +268,24 @@
     rig.wait_status(JobStatus.SUCCEEDED)
     assert desk.failures > 1
     assert rig.dispatcher.session is session
+
+
+# Guards against a loop over shared state that a switch within it tears.
+def test_a_wave_goes_on_where_every_line_gives_way(rig, monkeypatch):
+    def give_way(event, **pairs):
+        gevent.sleep(0.001)
+
+    for module in (upkeep_module, watch_module, agent_module, session_module):
+        monkeypatch.setattr(module, "log_event", give_way)
+    for minion in rig.minions:
+        minion.task_seconds = None
+    session = rig.dispatcher.session
+    for number in range(12):
+        rig.log.submit(Step(3, 100, lasts=True), job=f"{number:016x}")
+    rig.replica.wake()
+    assert wait_until(lambda: len(rig.log.table.run_by_task) == 36, SECONDS)
+    wave = begin_wave(rig, Platform(rig))
+    assert wait_until(lambda: wave.is_done, 20)
+    assert rig.dispatcher.session is session
+    assert not session.has_failed
+    assert "session_failures" not in session.gauge.metrics.metric_by_name
