Tests wait on conditions: three fixed sleeps of this change go

test_switches and test_earlier_life waited 0.01, 0.1 and 0.2 s for what can be asked: that the other greenlet has run, that all have failed; after the late record was joined nothing is left to wait for.

--- a/tests/switch_program.py
+++ b/tests/switch_program.py
@@ -61,14 +61,20 @@
         self.turns = 0
         self.switches = 0
 
+    def start_busy(self):
+        """Start the other greenlet; return it once it has run."""
+        other = gevent.spawn(self.be_busy)
+        while not self.turns:
+            gevent.sleep(0)
+        return other
+
     def be_busy(self):
         while True:
             self.turns += 1
             gevent.sleep(0)
 
     def run(self):
-        other = gevent.spawn(self.be_busy)
-        gevent.sleep(0.01)
+        other = self.start_busy()
         for number in range(LINES):
             with SwitchCount() as switches:
                 log_event("started", number=number, detail=LONG)
@@ -81,9 +87,7 @@
     """Has many greenlets whose errors nobody catches."""
 
     def run(self):
-        for _ in range(LINES):
-            gevent.spawn(self.fail)
-        gevent.sleep(0.1)
+        gevent.joinall([gevent.spawn(self.fail) for _ in range(LINES)])
 
     def fail(self):
         raise ValueError(LONG)
@@ -103,8 +107,7 @@
 
 def count_beside_others(function):
     """Return how often others ran while `function` was called, again and again."""
-    other = gevent.spawn(LoggingProgram().be_busy)
-    gevent.sleep(0.01)
+    other = LoggingProgram().start_busy()
     with SwitchCount() as switches:
         for _ in range(LINES):
             function()
--- a/tests/test_earlier_life.py
+++ b/tests/test_earlier_life.py
@@ -137,7 +137,6 @@
     recording.join()
     assert wait_until(lambda: try_beat(rig, latest), SECONDS)
     assert wait_until(lambda: latest.begun, SECONDS)
-    gevent.sleep(0.2)
     assert rig.log.table.run_by_task[task()].minion == latest.life
     assert rig.log.table.life_by_vm["vm-0"] == latest.life
 
