The test of the last log lines can fail

test_what_is_left_goes_out_when_it_is_closed passed with the wait of LineBuffer.close taken out: its reader was quick enough for the flush alone to empty the buffer, so it guarded nothing. The reader pauses 5 ms between two reads now, so that the pipe is full, and the buffer has to be empty when close returns: red with the wait out, green with it. Stricter than before.

--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -2,6 +2,7 @@
 
 import os
 import threading
+import time
 
 import pytest
 
@@ -17,9 +18,14 @@
         yield source, sink
 
 
+#: So slow is a reader that the pipe is full between two reads.
+READ_PAUSE_SECONDS = 0.005
+
+
 def read_slowly(source, size, read):
     while len(read) < size:
-        read += source.read(1000) or b""
+        time.sleep(READ_PAUSE_SECONDS)
+        read += source.read(10_000) or b""
 
 
 def test_lines_go_out_in_order_and_whole(pipe):
@@ -64,9 +70,11 @@
     buffer.write(text)
     buffer.flush()
     read = []
-    reader = threading.Thread(target=read_slowly, args=(source, len(text), read))
+    arguments = (source, len(text), read)
+    reader = threading.Thread(target=read_slowly, args=arguments, daemon=True)
     reader.start()
     buffer.close(seconds=30)
+    assert not buffer.lines
     reader.join()
     assert len(read) == len(text)
 
