Cordons of halls in the replicated job table

Neither the log nor the job table knew a hall as something that an operator can take out of service. CordonHall and UncordonHall keep the cordoned halls with the log index of the last change; a start on a minion of a cordoned hall is refused by the log, whichever leader planned it. An order that is based on an older revision is refused, so a delayed one cannot undo a later one.

--- a/hingepitch/jobs/command.py
+++ b/hingepitch/jobs/command.py
@@ -21,6 +21,7 @@
     "BeginMove",
     "BeginUpkeep",
     "CancelJob",
+    "CordonHall",
     "EndMove",
     "EndRuns",
     "JOB_COMMANDS",
@@ -35,6 +36,7 @@
     "Start",
     "StartRuns",
     "SuspectLife",
+    "UncordonHall",
 ]
 
 
@@ -231,6 +233,35 @@
     vm: str
 
 
+@dataclass(frozen=True, slots=True)
+class CordonHall:
+    """Let no run start on the minions of a hall.
+
+    Versions without cordons cannot read this command, and so cannot lead a group that
+    uses it.
+
+    `base_revision`
+        The revision of the cordons on which the order is based. An order that was
+        delayed until after another change has an old one and is refused.
+    """
+
+    hall: str
+    at_ms: int
+    base_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class UncordonHall:
+    """Let runs start on the minions of a hall again.
+
+    `base_revision`
+        As in `CordonHall`.
+    """
+
+    hall: str
+    base_revision: int
+
+
 JOB_COMMANDS = (
     PutQueues,
     PutAccountQueues,
@@ -248,4 +279,6 @@
     SettleUpkeep,
     BeginMove,
     EndMove,
+    CordonHall,
+    UncordonHall,
 )
--- a/hingepitch/jobs/content.py
+++ b/hingepitch/jobs/content.py
@@ -12,6 +12,7 @@
 
 from hingepitch.jobs.account import Quota
 from hingepitch.jobs.crash import CrashRecord, CrashRegistry, IncarnationBlame
+from hingepitch.jobs.hall import HallCordon, HallCordons
 from hingepitch.jobs.queue import QueueConfig
 from hingepitch.jobs.record import JobRecord, Minion, Run, Wave
 from hingepitch.jobs.table import JobTable
@@ -33,6 +34,8 @@
     crashes: list[CrashRecord] = []
     silent_lives: list[IncarnationBlame] = []
     departed_quotas: dict[str, Quota] = {}
+    cordons: list[HallCordon] = []
+    cordon_revision: int = 0
 
 
 def content_of(table):
@@ -52,6 +55,8 @@
         crashes=crashes,
         silent_lives=silent_lives,
         departed_quotas=table.ledger.departed_quotas,
+        cordons=list(table.cordons.cordon_by_hall.values()),
+        cordon_revision=table.cordons.revision,
     )
 
 
@@ -60,6 +65,7 @@
     table = JobTable()
     table.put_config(content.config)
     table.ledger.departed_quotas = content.departed_quotas
+    table.cordons = HallCordons(content.cordons, content.cordon_revision)
     for minion in content.minions:
         table.store_minion(minion, 0)
     births = content.births_of_ended
--- a/hingepitch/jobs/rule.py
+++ b/hingepitch/jobs/rule.py
@@ -11,6 +11,7 @@
 from hingepitch.error import HingepitchError
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.account import SENDER_WITHOUT_ACCOUNTS, caller_of, has_access
+from hingepitch.jobs.hall import HallCordon
 from hingepitch.jobs.ledger import exceeds_quota
 from hingepitch.jobs.queue import check_config
 from hingepitch.jobs.record import (
@@ -148,6 +149,8 @@
         return "the job is not open"
     if minion is None or table.is_leaving(minion):
         return "the minion is gone or is leaving"
+    if minion.hall in table.cordons:
+        return "the hall is cordoned"
     return task_rejection(table, job, key) or placement_rejection(
         table, job, key, minion
     )
@@ -270,3 +273,25 @@
 @apply_command.register
 def _(command: commands.EndMove, state, envelope, index):
     state.jobs.move_by_vm.pop(command.vm, None)
+
+
+@apply_command.register
+def _(command: commands.CordonHall, state, envelope, index):
+    cordons = state.jobs.cordons
+    if command.hall not in cordons:
+        check_revision(cordons, command)
+        cordons.add(HallCordon(command.hall, command.at_ms), index)
+
+
+@apply_command.register
+def _(command: commands.UncordonHall, state, envelope, index):
+    cordons = state.jobs.cordons
+    if command.hall in cordons:
+        check_revision(cordons, command)
+        cordons.remove(command.hall, index)
+
+
+def check_revision(cordons, command):
+    """Refuse an order that is based on cordons that have changed since."""
+    if command.base_revision != cordons.revision:
+        raise Refusal("stale_version", f"the current revision is {cordons.revision}")
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -16,6 +16,7 @@
 from hingepitch.jobs.account import AccountIndex
 from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.crash import CrashRegistry
+from hingepitch.jobs.hall import HallCordons
 from hingepitch.jobs.ledger import AccountLedger
 from hingepitch.jobs.queue import QueueIndex
 from hingepitch.jobs.record import (
@@ -85,6 +86,8 @@
         `MAX_ARRIVED_JOBS`.
     `crashes`
         The `CrashRegistry`.
+    `cordons`
+        The `HallCordons`: halls in which no run may start.
     `has_seen_batch_job`
         Whether a job with tasks that are not long-running was ever accepted.
     """
@@ -111,6 +114,7 @@
         self.pending_by_route = Counter()
         self.arrived_jobs = deque(maxlen=MAX_ARRIVED_JOBS)
         self.crashes = CrashRegistry()
+        self.cordons = HallCordons()
         self.has_seen_batch_job = False
 
     def put_config(self, config):
--- a/hingepitch/model/apply.py
+++ b/hingepitch/model/apply.py
@@ -165,6 +165,8 @@
         job_commands.PutQueues,
         job_commands.PutAccountQueues,
         job_commands.PutWave,
+        job_commands.CordonHall,
+        job_commands.UncordonHall,
     },
     Role.ENTRY: {
         commands.JoinEntry,
--- a/hingepitch/model/state.py
+++ b/hingepitch/model/state.py
@@ -37,6 +37,8 @@
 #: support. Versions without the feature do not know it, and refuse the snapshot.
 FEATURE_KIND = "feature"
 ACCOUNTS_FEATURE = "client-accounts"
+CORDONS_FEATURE = "hall-cordons"
+KNOWN_FEATURES = frozenset((ACCOUNTS_FEATURE, CORDONS_FEATURE))
 
 #: Errors that reading a snapshot of another version raises: its parts may be
 #: missing, have other types, or not fit each other.
@@ -224,11 +226,19 @@
                 self.put(kind, key, record, record.version)
         self.version = version
 
+    def features(self):
+        """Yield the features that a reader of a snapshot must support."""
+        if self.jobs.has_accounts:
+            yield ACCOUNTS_FEATURE
+        if self.jobs.cordons.revision:
+            yield CORDONS_FEATURE
+
     def to_snapshot(self):
         """Return the state encoded as msgpack."""
         records = dict(self.by_kind)
-        if self.jobs.has_accounts:
-            records[FEATURE_KIND] = {ACCOUNTS_FEATURE: None}
+        features = dict.fromkeys(self.features())
+        if features:
+            records[FEATURE_KIND] = features
         return ENCODER.encode(
             {
                 "version": self.version,
@@ -262,7 +272,7 @@
         tables = msgspec.msgpack.decode(
             raw["records"], type=dict[str, dict[str, msgspec.Raw]]
         )
-        unread = tables.pop(FEATURE_KIND, {}).keys() - {ACCOUNTS_FEATURE}
+        unread = tables.pop(FEATURE_KIND, {}).keys() - KNOWN_FEATURES
         if unread:
             raise ValueError(f"unknown features: {', '.join(sorted(unread))}")
         for kind, table in tables.items():
