An accepted order for a hall outdates every earlier one

Cause: the revision of the cordons changed only with a cordon. If an operator gave up on an order to cordon a hall, and an order to uncordon it was then acknowledged because the hall was not cordoned, the delayed first order still had the current revision, and was applied after the opposite one. Change: each accepted order sets the revision, also one whose state already holds. Weighed: a revision for each hall; orders for two halls at once are rare, and one of them is only read again.

--- a/hingepitch/jobs/hall.py
+++ b/hingepitch/jobs/hall.py
@@ -33,7 +33,9 @@
     `cordon_by_hall`
         The `HallCordon` of each cordoned hall.
     `revision`
-        Log index of the last change; 0 before the first.
+        Log index of the last accepted order, whether it changed a cordon or not; 0
+        before the first. An order that finds its state already held has to count,
+        or an earlier opposite one that was delayed could still be applied after it.
     """
 
     def __init__(self, cordons=(), revision=0):
@@ -44,11 +46,11 @@
         return hall in self.cordon_by_hall
 
     def add(self, cordon, revision):
-        """Cordon a hall at a log index."""
-        self.cordon_by_hall[cordon.hall] = cordon
+        """Cordon a hall at a log index; a cordon that exists keeps its time."""
+        self.cordon_by_hall.setdefault(cordon.hall, cordon)
         self.revision = revision
 
     def remove(self, hall, revision):
-        """Uncordon a hall at a log index."""
-        del self.cordon_by_hall[hall]
+        """Uncordon a hall at a log index, if it is cordoned."""
+        self.cordon_by_hall.pop(hall, None)
         self.revision = revision
--- a/hingepitch/jobs/rule.py
+++ b/hingepitch/jobs/rule.py
@@ -280,7 +280,7 @@
     cordons = state.jobs.cordons
     if command.hall not in cordons:
         check_revision(cordons, command)
-        cordons.add(HallCordon(command.hall, command.at_ms), index)
+    cordons.add(HallCordon(command.hall, command.at_ms), index)
 
 
 @apply_command.register
@@ -288,7 +288,7 @@
     cordons = state.jobs.cordons
     if command.hall in cordons:
         check_revision(cordons, command)
-        cordons.remove(command.hall, index)
+    cordons.remove(command.hall, index)
 
 
 def check_revision(cordons, command):
