Requests to the leader that list, cordon and uncordon halls

Cause: the log has the commands, but no process could send them. Change: AskHalls answers with the revision and the cordoned halls after a confirmation by a quorum; SetCordon records an order on the revision that its sender read. A hall that neither the settings of the sender nor a minion nor a cordon names is refused with unknown_hall, and nothing is stored. A change writes a log line. A reply of stale_version reaches the caller of JobClient.ask in any case; it reads again. Weighed: answering an order whose state holds without the log; an earlier opposite order could then still be applied. A hall whose last minion went stays known while cordoned, or it could not be uncordoned.

--- a/hingepitch/error.py
+++ b/hingepitch/error.py
@@ -39,6 +39,7 @@
     "bad_object": ErrorKind(400, "The object is not valid"),
     "bad_job": ErrorKind(400, "The job is not valid"),
     "unknown_queue": ErrorKind(404, "There is no such queue"),
+    "unknown_hall": ErrorKind(404, "There is no such hall"),
     "unknown_job": ErrorKind(410, "There is no such job"),
     "over_quota": ErrorKind(422, "The quota of the account is too small for the job"),
     "job_id_taken": ErrorKind(409, "Another account has a job with this id"),
--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -32,6 +32,7 @@
         "unauthenticated",
         "job_id_taken",
         "over_quota",
+        "unknown_hall",
     )
 )
 
@@ -75,7 +76,8 @@
 
         Raises `HingepitchError`: `deadline_passed` if the request may have been
         applied, otherwise the code of the last refusal, with `no_leader` for all
-        transient codes.
+        transient codes. `stale_version` is raised even if an earlier attempt may have
+        been applied: the caller reads again what it was based on.
         """
         began = lease_seconds()
         may_be_applied = False
--- /dev/null
+++ b/hingepitch/jobs/hallservice.py
@@ -0,0 +1,70 @@
+"""
+hingepitch.jobs.hallservice
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Answers the requests about halls at the leader: which are cordoned, and orders to
+cordon or uncordon one.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from hingepitch.clock import wall_ms
+from hingepitch.error import HingepitchError
+from hingepitch.jobs.command import CordonHall, UncordonHall
+from hingepitch.jobs.question import HallListing
+from hingepitch.log import log_event
+from hingepitch.model.command import Role
+
+__all__ = ["HallService"]
+
+
+class HallService:
+    """Lists, cordons and uncordons halls for a `JobService`.
+
+    `service`
+        The `JobService`: its job table, and its `propose`.
+    """
+
+    def __init__(self, service):
+        self.service = service
+
+    @property
+    def table(self):
+        """The replicated job table."""
+        return self.service.table
+
+    def listing(self):
+        """Return the `HallListing` after all that was acknowledged."""
+        self.service.confirm_leadership()
+        cordons = self.table.cordons
+        return HallListing(cordons.revision, list(cordons.cordon_by_hall.values()))
+
+    def set_cordon(self, order):
+        """Record a `SetCordon` in the log; raise `HingepitchError` if it is refused.
+
+        An order whose state already holds is recorded too: it outdates the orders
+        that were sent before it.
+        """
+        if not order.is_listed:
+            self.require_hall(order.hall)
+        is_change = (order.hall in self.table.cordons) is not order.is_cordoned
+        if order.is_cordoned:
+            command = CordonHall(order.hall, wall_ms(), order.base_revision)
+        else:
+            command = UncordonHall(order.hall, order.base_revision)
+        self.service.propose(Role.OPERATOR, command)
+        if is_change:
+            log_event(
+                "hall_cordoned" if order.is_cordoned else "hall_uncordoned",
+                hall=order.hall,
+                by=order.caller,
+                revision=self.table.cordons.revision,
+            )
+
+    def require_hall(self, hall):
+        """Raise `unknown_hall` unless a minion or a cordon shows that a hall exists."""
+        self.service.confirm_leadership()
+        minions = self.table.minion_by_id.values()
+        if hall not in self.table.cordons and all(one.hall != hall for one in minions):
+            raise HingepitchError("unknown_hall", hall)
--- a/hingepitch/jobs/question.py
+++ b/hingepitch/jobs/question.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from hingepitch.error import HingepitchError
+from hingepitch.jobs.hall import HallCordon
 from hingepitch.jobs.queue import QueueConfig
 from hingepitch.jobs.record import Minion
 from hingepitch.jobs.spec import JobSpec
@@ -18,6 +19,7 @@
 __all__ = [
     "AskCancel",
     "AskConfig",
+    "AskHalls",
     "AskJob",
     "AskKeys",
     "AskMembers",
@@ -27,12 +29,14 @@
     "GiveConfig",
     "GiveJob",
     "GiveWave",
+    "HallListing",
     "JoinGroup",
     "KeyListing",
     "ListedQueue",
     "MemberRow",
     "NoteBeat",
     "NoteLeaving",
+    "SetCordon",
     "UNREAD_REQUEST",
     "decode_request",
     "encode",
@@ -133,6 +137,32 @@
     number: int
 
 
+class AskHalls(Question, frozen=True):
+    """Get the cordoned halls; response: `HallListing`."""
+
+
+class SetCordon(Question, frozen=True):
+    """Cordon or uncordon a hall; response: None.
+
+    A hall in the requested state is no error. `stale_version`: the cordons have
+    changed since `base_revision`.
+
+    `base_revision`
+        The revision that the sender read before it saw that its caller still waits.
+    `is_listed`
+        Whether the settings of the sender list the hall. Otherwise it must be the
+        hall of a registered minion, or cordoned.
+    `caller`
+        Address of the operator, for the log.
+    """
+
+    hall: str
+    is_cordoned: bool
+    base_revision: int
+    is_listed: bool
+    caller: str = ""
+
+
 class NoteBeat(Question, frozen=True):
     """Heartbeat of a minion with its current record; response: None.
 
@@ -194,6 +224,13 @@
     key_digests: list[bytes]
 
 
+class HallListing(msgspec.Struct, frozen=True):
+    """The cordoned halls, and the revision of the cordons."""
+
+    revision: int
+    cordons: list[HallCordon]
+
+
 REQUESTS = (
     GiveJob
     | AskJob
@@ -205,6 +242,8 @@
     | AskKeys
     | GiveWave
     | AskWave
+    | AskHalls
+    | SetCordon
     | NoteBeat
     | NoteLeaving
     | JoinGroup
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -28,6 +28,7 @@
     PutQueues,
     PutWave,
 )
+from hingepitch.jobs.hallservice import HallService
 from hingepitch.jobs.registration import MinionRegistration
 from hingepitch.log import log_event
 from hingepitch.model.command import Envelope, Role
@@ -58,6 +59,8 @@
         `AsyncResult` of each job that is being recorded in the log, by id and key.
     `minions`
         The `MinionRegistration`, which answers what minions say of themselves.
+    `halls`
+        The `HallService`, which answers the requests about halls.
     """
 
     def __init__(self, replica, roster, members, name):
@@ -68,6 +71,7 @@
         self.confirmed_at = 0.0
         self.accepting = {}
         self.minions = MinionRegistration(self)
+        self.halls = HallService(self)
 
     @property
     def table(self):
@@ -280,6 +284,14 @@
             raise HingepitchError("unknown_object", f"no wave {question.number}")
         return wave.is_done
 
+    @answer.register
+    def _(self, question: questions.AskHalls):
+        return self.halls.listing()
+
+    @answer.register
+    def _(self, question: questions.SetCordon):
+        self.halls.set_cordon(question)
+
     @answer.register
     def _(self, question: questions.NoteBeat):
         if not self.replica.is_leader:
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -68,6 +68,8 @@
     "job_cancelled": "INFO",
     "queues_put": "INFO",
     "wave_put": "INFO",
+    "hall_cordoned": "INFO",
+    "hall_uncordoned": "INFO",
     "upkeep_step": "INFO",
     "minion_registered": "INFO",
     "minion_removed": "INFO",
