--- a/hingepitch/httpd.py
+++ b/hingepitch/httpd.py
@@ -10,6 +10,7 @@
 """
 
 import re
+import select
 import socket
 from io import BytesIO
 
@@ -21,6 +22,7 @@
 
 from hingepitch.error import ERROR_BY_CODE, HingepitchError
 from hingepitch.log import log_event, source_location
+from hingepitch.patch import unpatched_poll
 from hingepitch.setting import parse_address
 
 __all__ = [
@@ -29,6 +31,7 @@
     "check_framing",
     "make_api",
     "build_problem",
+    "is_caller_connected",
     "set_problem",
     "split_header_block",
     "wait_until",
@@ -42,6 +45,14 @@
 LENGTH_VALUE = re.compile(rb"[0-9]{1,18}\Z")
 
 
+#: Key of the WSGI environment: function, whether the caller is still connected.
+IS_CONNECTED = "hingepitch.is_connected"
+
+#: Flags by which `poll` reports that the other side has closed a connection. Not every
+#: system has `POLLRDHUP`.
+CLOSED_FLAGS = select.POLLHUP | select.POLLERR | getattr(select, "POLLRDHUP", 0)
+
+
 class FramingError(ValueError):
     """A message whose end is ambiguous; `code` is a key of `ERROR_BY_CODE`."""
 
@@ -109,8 +120,13 @@
         """Return the WSGI environment with the undecoded path as `RAW_PATH`."""
         environ = super().get_environ()
         environ["RAW_PATH"] = self.path.partition("?")[0]
+        environ[IS_CONNECTED] = self.is_connected
         return environ
 
+    def is_connected(self):
+        """Whether the caller has not closed the connection, as far as is known."""
+        return is_open(self.socket)
+
     def read_header_lines(self, rfile):
         """Yield the raw header lines; raise `FramingError` if they are too large."""
         left = MAX_HEADER_BYTES
@@ -230,6 +246,37 @@
         api.add_route("/status", self, suffix="status")
 
 
+def is_open(sock):
+    """Whether the other side of a socket has not closed it, as far as is known.
+
+    Neither waits nor consumes anything.
+    """
+    try:
+        poll = unpatched_poll()
+        poll.register(sock.fileno(), select.POLLIN | CLOSED_FLAGS)
+        events = poll.poll(0)
+        if not events:
+            return True
+        # Bytes that were not read hide the end from a peek, but not from `poll`.
+        if events[0][1] & CLOSED_FLAGS:
+            return False
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except ConnectionError:
+        return False
+    except (OSError, ValueError) as error:
+        log_event("bad_request", error=f"cannot check the connection: {error!r}")
+        return True
+
+
+def is_caller_connected(req):
+    """Whether the caller of a falcon request still waits for the answer.
+
+    True if that is not known: for requests that came by no socket.
+    """
+    check = req.env.get(IS_CONNECTED)
+    return check is None or check()
+
+
 def make_api():
     """Return a falcon application with the daemons' error handlers."""
     api = falcon.App()
