Tell calls that were not sent from calls without an answer

Cause: after the loss of a leader, the next call on each kept connection ended with peer_failed, and so with 504, although the server had closed the connection before. The same held for a call that was not written completely. Calls that waited for a connection to a suspended leader were sent one after another, each with its own time-out. A replica with another shared key made the caller get 401.

Change: a kept connection is checked for its end before a call is sent. Only a call that was written completely has an unknown outcome: the server handles whole frames. A call that waited for a connection that failed is not sent. The refusal of a handshake counts as no_leader.

Weighed: a probe on each connection, which would cost a round trip for each call; the check of the socket costs two system calls.

--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -99,7 +99,7 @@
         try:
             return msgspec.msgpack.decode(self.group.call_once("ask", encode(question)))
         except HingepitchError as error:
-            if not is_unread(error):
+            if not is_unread(error) and not getattr(error, "is_handshake", False):
                 raise
             self.group.skip_replica()
             raise HingepitchError("no_leader", error.detail, RETRY_AFTER_MS) from None
--- a/hingepitch/rpc.py
+++ b/hingepitch/rpc.py
@@ -189,8 +189,14 @@
         Longest wait for an answer.
 
     Calls are serialized. They raise `HingepitchError` with the code that the
-    server sent, `peer_unreachable` if the call was certainly not sent, or
-    `peer_failed` if it was sent and there is no answer.
+    server sent, `peer_unreachable` if the server certainly did not get the whole
+    call, or `peer_failed` if it may have got it and there is no answer. An error
+    has `is_handshake` set if the server refused the authentication of the
+    connection.
+
+    `failures`
+        Number of calls without an answer. A call that waited for the connection
+        meanwhile is not sent: it would only wait for the same time-out.
     """
 
     def __init__(self, address, name, key, timeout_seconds=5.0):
@@ -201,6 +207,7 @@
         self.lock = BoundedSemaphore()
         self.transport = None
         self.stub = None
+        self.failures = 0
 
     def connect(self):
         """Connect and authenticate."""
@@ -216,31 +223,57 @@
 
     def call(self, method, *arguments):
         """Call `method` of the service; return its result."""
+        failures = self.failures
         with self.lock:
-            code = "peer_unreachable"
-            try:
-                with gevent.Timeout(self.timeout_seconds):
-                    if self.stub is None:
-                        self.connect()
-                    code = "peer_failed"
-                    return getattr(self.stub, method)(*arguments)
-            except Refused as error:
-                raise self.to_error(error) from None
-            except (*CALL_ERRORS, gevent.Timeout) as error:
-                self.close()
-                detail = f"{self.address}: {error!r}"
-                raise HingepitchError(code, detail) from None
-            except BaseException:
-                self.close()
-                raise
-
-    def to_error(self, error):
-        """Return the `HingepitchError` for a `Refused` of the server."""
+            if self.failures != failures:
+                detail = f"{self.address}: the connection failed"
+                raise HingepitchError("peer_unreachable", detail)
+            return self.send_and_receive(method, *arguments)
+
+    def send_and_receive(self, method, *arguments):
+        """Call `method` on the connection, which no other call uses meanwhile."""
+        code = "peer_unreachable"
+        try:
+            with gevent.Timeout(self.timeout_seconds):
+                if not self.is_open():
+                    self.connect()
+                # The server handles only whole frames, so a failure to write one
+                # shows that it did not get the call.
+                getattr(self.stub, f"send_{method}")(*arguments)
+                code = "peer_failed"
+                return getattr(self.stub, f"recv_{method}")()
+        except Refused as error:
+            raise self.to_error(error, code) from None
+        except (*CALL_ERRORS, gevent.Timeout) as error:
+            self.failures += 1
+            self.close()
+            detail = f"{self.address}: {error!r}"
+            raise HingepitchError(code, detail) from None
+        except BaseException:
+            self.close()
+            raise
+
+    def is_open(self):
+        """Whether there is a connection that the server has not closed.
+
+        A server that has closed a connection does not read what arrives on it later.
+        """
+        if self.transport is not None and not self.transport.isOpen():
+            self.close()
+        return self.transport is not None and self.stub is not None
+
+    def to_error(self, error, code):
+        """Return the `HingepitchError` for a `Refused` of the server.
+
+        `code`
+            `peer_unreachable` if it refused the authentication.
+        """
         if error.code == "unauthenticated":
             self.close()
-        code = error.code if error.code in ERROR_BY_CODE else "internal"
-        translated = HingepitchError(code, error.detail, error.retry_after_ms)
+        known_code = error.code if error.code in ERROR_BY_CODE else "internal"
+        translated = HingepitchError(known_code, error.detail, error.retry_after_ms)
         translated.leader = error.leader
+        translated.is_handshake = code == "peer_unreachable"
         return translated
 
     def close(self):
--- /dev/null
+++ b/tests/test_true_answers.py
@@ -0,0 +1,115 @@
+"""Answers of an entry to calls that the leader does not answer.
+
+Guards against 502 and 504 for calls that certainly changed nothing: their callers must
+then find out what became of the job. And against 503 for calls that may have.
+"""
+
+import socket
+from types import SimpleNamespace
+
+import gevent
+import pytest
+from thrift.transport.TSocket import TSocket
+
+from hingepitch.error import HingepitchError
+from hingepitch.gen.control import Control
+from hingepitch.gen.control.ttypes import Refused
+from hingepitch.jobs.client import JobClient
+from hingepitch.jobs.question import AskJob, AskKeys, AskPending
+from hingepitch.rpc import ControlClient, LimitedTransport, make_protocol
+
+READS = (AskJob("1", "h", "/"), AskPending("h", "/"), AskKeys(0))
+
+
+def code_of(function, *arguments):
+    with pytest.raises(HingepitchError) as caught:
+        function(*arguments)
+    return caught.value.code
+
+
+@pytest.fixture
+def connected():
+    """A client on an open connection, and the server's end of it."""
+    ours, theirs = socket.socketpair()
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    inner = TSocket("127.0.0.1", 1)
+    inner.setHandle(ours)
+    inner.setTimeout(50)
+    client = ControlClient("127.0.0.1:1", "entry", "key")
+    client.transport = LimitedTransport(inner)
+    client.stub = Control.Client(make_protocol(client.transport))
+    client.connect = refuse_connection
+    yield client, theirs
+    theirs.close()
+
+
+def refuse_connection():
+    raise ConnectionRefusedError
+
+
+# Guards against: 504 for every call on a kept connection to a leader that has ended.
+def test_a_call_on_a_connection_that_the_server_closed_was_not_sent(connected):
+    client, server = connected
+    server.close()
+    assert code_of(client.call, "ask", b"x") == "peer_unreachable"
+
+
+# Guards against: 504 for a call that a suspended leader cannot have read completely.
+def test_a_call_that_was_not_written_completely_was_not_sent(connected):
+    client, server = connected
+    assert code_of(client.call, "ask", bytes(1_000_000)) == "peer_unreachable"
+    assert server.recv(10) and client.transport is None
+
+
+# Guards against: 503 for a call that a suspended leader may still read.
+def test_a_call_that_was_written_and_not_answered_may_have_run(connected):
+    client, _ = connected
+    assert code_of(client.call, "ask", b"x") == "peer_failed"
+
+
+# Guards against: calls that wait for one time-out after another at a suspended leader.
+def test_a_call_that_waited_for_a_failed_connection_is_not_sent():
+    client = ControlClient("127.0.0.1:1", "entry", "key", 0.05)
+    client.transport = SimpleNamespace(isOpen=lambda: True, close=lambda: None)
+    sent = []
+    client.stub = SimpleNamespace(
+        send_ask=sent.append, recv_ask=lambda: gevent.sleep(60)
+    )
+    calls = [gevent.spawn(code_of, client.call, "ask", number) for number in range(3)]
+    gevent.joinall(calls, timeout=5)
+    codes = [call.value for call in calls]
+    assert codes == ["peer_failed", "peer_unreachable", "peer_unreachable"]
+    assert sent == [0]
+
+
+class OneReplica:
+    """Group client whose only replica answers each call with the next code."""
+
+    def __init__(self, *codes, is_handshake=False):
+        self.codes = list(codes)
+        self.is_handshake = is_handshake
+
+    def call_once(self, method, data):
+        code = self.codes.pop(0) if len(self.codes) > 1 else self.codes[0]
+        error = HingepitchError(code)
+        error.is_handshake = self.is_handshake
+        raise error
+
+    def skip_replica(self):
+        pass
+
+
+# Guards against: 401 to a caller because a replica has another shared key.
+def test_a_replica_that_refuses_the_entry_does_not_refuse_its_caller(monkeypatch):
+    client = ControlClient("127.0.0.1:1", "entry", "key")
+
+    def fail():
+        raise Refused("unauthenticated", "wrong key")
+
+    monkeypatch.setattr(client, "connect", fail)
+    with pytest.raises(HingepitchError) as caught:
+        client.call("ask", b"x")
+    assert (caught.value.code, caught.value.is_handshake) == ("unauthenticated", True)
+    for is_handshake, code in ((True, "no_leader"), (False, "unauthenticated")):
+        group = OneReplica("unauthenticated", is_handshake=is_handshake)
+        assert code_of(JobClient(group).ask, None, 0.1, 0.05) == code
