Refuse reads that got no answer with 503

Cause: a read whose answer was lost ended with 504, and so did a call that waited for the listing of keys (AskKeys) and had not been sent at all. A read changes nothing wherever it arrives.

Change: reads are retried as before, then refused with no_leader.

--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -13,7 +13,15 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
-from hingepitch.jobs.question import UNREAD_REQUEST, encode
+from hingepitch.jobs.question import (
+    UNREAD_REQUEST,
+    AskConfig,
+    AskJob,
+    AskKeys,
+    AskPending,
+    AskWave,
+    encode,
+)
 
 __all__ = ["JobClient"]
 
@@ -42,6 +50,9 @@
 #: little later, may accept the request.
 TRANSIENT_CODES = frozenset(("not_leader", "no_leader", "peer_unreachable"))
 
+#: Requests that change nothing at any replica, whether or not they were handled.
+READ_REQUESTS = (AskConfig, AskJob, AskKeys, AskPending, AskWave)
+
 #: Retry delay given to the caller if no leader is available, in milliseconds.
 RETRY_AFTER_MS = 1000
 
@@ -75,20 +86,22 @@
 
         Raises `HingepitchError`: `deadline_passed` if the request may have been
         applied, otherwise the code of the last refusal, with `no_leader` for all
-        transient codes.
+        transient codes. A read is never applied.
         """
         began = lease_seconds()
-        may_be_applied = False
+        is_read = isinstance(question, READ_REQUESTS)
+        is_outcome_unknown = False
         while True:
             try:
                 return self.ask_once(question)
             except HingepitchError as error:
-                may_be_applied = may_be_applied or error.code in UNKNOWN_OUTCOME_CODES
-                limit = seconds if may_be_applied else leaderless_seconds
+                is_outcome_unknown |= error.code in UNKNOWN_OUTCOME_CODES
+                limit = seconds if is_outcome_unknown else leaderless_seconds
                 is_transient = (
                     error.code in TRANSIENT_CODES or error.code in UNKNOWN_OUTCOME_CODES
                 )
                 if not is_transient or lease_seconds() - began > limit:
+                    may_be_applied = is_outcome_unknown and not is_read
                     raise self.final_error(error, may_be_applied) from None
             gevent.sleep(PAUSE_SECONDS)
 
@@ -108,7 +121,7 @@
         """Return the error to raise to the caller after the last attempt."""
         if may_be_applied and error.code in UNAPPLIED_CODES | UNKNOWN_OUTCOME_CODES:
             return HingepitchError("deadline_passed", error.detail)
-        if error.code in TRANSIENT_CODES:
+        if error.code in TRANSIENT_CODES | UNKNOWN_OUTCOME_CODES:
             return HingepitchError("no_leader", "", RETRY_AFTER_MS)
         return error
 
--- a/tests/test_true_answers.py
+++ b/tests/test_true_answers.py
@@ -15,7 +15,7 @@
 from hingepitch.gen.control import Control
 from hingepitch.gen.control.ttypes import Refused
 from hingepitch.jobs.client import JobClient
-from hingepitch.jobs.question import AskJob, AskKeys, AskPending
+from hingepitch.jobs.question import AskCancel, AskJob, AskKeys, AskPending
 from hingepitch.rpc import ControlClient, LimitedTransport, make_protocol
 
 READS = (AskJob("1", "h", "/"), AskPending("h", "/"), AskKeys(0))
@@ -113,3 +113,11 @@
     for is_handshake, code in ((True, "no_leader"), (False, "unauthenticated")):
         group = OneReplica("unauthenticated", is_handshake=is_handshake)
         assert code_of(JobClient(group).ask, None, 0.1, 0.05) == code
+
+
+# Guards against: 502 and 504 for reads, which change nothing wherever they arrive.
+@pytest.mark.parametrize("code", ["peer_failed", "lost_leadership"])
+@pytest.mark.parametrize("request_", [*READS, AskCancel("1", "h", "/")])
+def test_a_read_without_an_answer_is_not_reported_as_unknown(request_, code):
+    expected = "no_leader" if request_ in READS else "deadline_passed"
+    assert code_of(JobClient(OneReplica(code)).ask, request_, 0.1, 0.05) == expected
