Refuse commands that a bad disk kept out of the log with 503

Cause: storage_failed counted as an unknown outcome. A replica raises it only for commands that it has not appended: at the start of propose, and for the commands that still wait when the disk fails. Appended ones end with lost_leadership.

Change: storage_failed is transient and changed nothing.

--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -40,15 +40,18 @@
         "unauthenticated",
         "job_id_taken",
         "over_quota",
+        "storage_failed",
     )
 )
 
 #: Error codes after which the request may have been applied.
-UNKNOWN_OUTCOME_CODES = frozenset(("peer_failed", "lost_leadership", "storage_failed"))
+UNKNOWN_OUTCOME_CODES = frozenset(("peer_failed", "lost_leadership"))
 
 #: Those of `UNAPPLIED_CODES` that are transient: another replica, or the same one a
 #: little later, may accept the request.
-TRANSIENT_CODES = frozenset(("not_leader", "no_leader", "peer_unreachable"))
+TRANSIENT_CODES = frozenset(
+    ("not_leader", "no_leader", "peer_unreachable", "storage_failed")
+)
 
 #: Requests that change nothing at any replica, whether or not they were handled.
 READ_REQUESTS = (AskConfig, AskJob, AskKeys, AskPending, AskWave)
--- a/tests/test_true_answers.py
+++ b/tests/test_true_answers.py
@@ -11,12 +11,16 @@
 import pytest
 from thrift.transport.TSocket import TSocket
 
+from hingepitch.control.replica import Replica
 from hingepitch.error import HingepitchError
 from hingepitch.gen.control import Control
 from hingepitch.gen.control.ttypes import Refused
 from hingepitch.jobs.client import JobClient
+from hingepitch.jobs.command import OpenRounds
 from hingepitch.jobs.question import AskCancel, AskJob, AskKeys, AskPending
+from hingepitch.model.command import Envelope, Role
 from hingepitch.rpc import ControlClient, LimitedTransport, make_protocol
+from tests.single_replica import make_replica
 
 READS = (AskJob("1", "h", "/"), AskPending("h", "/"), AskKeys(0))
 
@@ -121,3 +125,24 @@
 def test_a_read_without_an_answer_is_not_reported_as_unknown(request_, code):
     expected = "no_leader" if request_ in READS else "deadline_passed"
     assert code_of(JobClient(OneReplica(code)).ask, request_, 0.1, 0.05) == expected
+
+
+# Guards against: 503 for a command that is in the log of a replica with a bad disk, and
+# 504 for one that is not.
+def test_only_commands_outside_the_log_are_refused_with_storage_failed(
+    tmp_path, monkeypatch
+):
+    replica = make_replica(tmp_path)
+    monkeypatch.setattr(Replica, "is_leader", True)
+    envelope = Envelope(Role.PLANNER, "", "test", OpenRounds(1))
+    queued = gevent.spawn(code_of, replica.propose, envelope)
+    gevent.idle()
+    [command] = replica.admission.take(1)
+    replica.waiter_by_index[1] = (1, command.result)
+    waiting = gevent.spawn(code_of, replica.propose, envelope)
+    gevent.idle()
+    replica.handle_storage_fault("the disk is full")
+    gevent.joinall([queued, waiting], timeout=5)
+    assert (queued.value, waiting.value) == ("lost_leadership", "storage_failed")
+    assert code_of(replica.propose, envelope) == "storage_failed"
+    assert not replica.admission.size
