Retry a call for as long as its caller waits

Cause: a call with an unknown outcome was asked again for 1.8 s, whatever its caller's Deadline-Ms said, and a wait for the check of its key came on top.

Change: the entry takes the time from Deadline-Ms, less one call to a replica and a margin for the answer; without the header the 1.8 s remain. The time counts from the arrival of the call, the check of its key included; a call that is refused while it waits for that was never sent and gets 503.

--- a/hingepitch/jobs/keycheck.py
+++ b/hingepitch/jobs/keycheck.py
@@ -63,11 +63,16 @@
         self.waiting_count = 0
         self.checked_at = 0.0
 
-    def check(self, host, path, key):
-        """Raise `unauthenticated` if a call certainly needs another key."""
+    def check(self, host, path, key, until=None):
+        """Raise `unauthenticated` if a call certainly needs another key.
+
+        `until`
+            Time on the clock `lease_seconds` after which the call is refused with
+            `no_leader`. Default: None, to wait for the check in any case.
+        """
         if not self.lacks_key(host, path, key):
             return
-        self.wait_for_check()
+        self.wait_for_check(until)
         if self.lacks_key(host, path, key):
             raise HingepitchError("unauthenticated", describe_digest(key))
 
@@ -83,7 +88,7 @@
         if not self.version and self.waiting is None:
             self.start_check()
 
-    def wait_for_check(self):
+    def wait_for_check(self, until):
         """Return once the leader has confirmed the listing after this call began."""
         if self.waiting_count >= MAX_WAITING_CALLS:
             raise HingepitchError(
@@ -95,7 +100,9 @@
         self.waiting.append(result)
         self.waiting_count += 1
         try:
-            result.get()
+            result.get(timeout=until and max(0.0, until - lease_seconds()))
+        except gevent.Timeout:
+            raise HingepitchError("no_leader", "", RETRY_AFTER_MS) from None
         finally:
             self.waiting_count -= 1
 
--- a/tests/test_true_answers.py
+++ b/tests/test_true_answers.py
@@ -11,6 +11,7 @@
 import pytest
 from thrift.transport.TSocket import TSocket
 
+from adapter.front import RETRY_TIMEOUT_SECONDS, retry_seconds
 from hingepitch.control.replica import Replica
 from hingepitch.error import HingepitchError
 from hingepitch.gen.control import Control
@@ -146,3 +147,22 @@
     assert (queued.value, waiting.value) == ("lost_leadership", "storage_failed")
     assert code_of(replica.propose, envelope) == "storage_failed"
     assert not replica.admission.size
+
+
+# Guards against: an answer that arrives after its caller has stopped waiting, and 504
+# for a call whose caller would have waited for the next leader.
+@pytest.mark.parametrize(
+    "header, seconds",
+    [
+        (None, RETRY_TIMEOUT_SECONDS),
+        ("3000", 2.3),
+        ("6500", 5.8),
+        ("100", 0.0),
+        ("soon", RETRY_TIMEOUT_SECONDS),
+        ("-5", RETRY_TIMEOUT_SECONDS),
+        ("9" * 5000, RETRY_TIMEOUT_SECONDS),
+    ],
+)
+def test_a_call_is_retried_while_its_caller_waits(header, seconds):
+    req = SimpleNamespace(get_header=lambda name: header)
+    assert retry_seconds(req) == pytest.approx(seconds)
