--- a/standin/account_faults.py
+++ b/standin/account_faults.py
@@ -96,7 +96,7 @@
     Fault(
         "config",
         "an entry refuses a key by an old listing",
-        (("jobs/keycheck.py", "        self.wait_for_check()\n", ""),),
+        (("jobs/keycheck.py", "        self.wait_for_check(until)\n", ""),),
         "just_added_is_not_refused",
     ),
     Fault(
