End an entry within its grace period

Cause: the waits of a stopping entry add up to its whole grace period: 2.2 s for the balancer, 2.8 s for calls, 0.2 s to flush, 0.2 s for each of three servers in turn, and 0.2 s for the log. A server whose handlers do not end takes 1 s more, and a child that does not end 5 s.

A native thread ends the process at 0.92 of the period, so also if the event loop is blocked.

Weighed: a greenlet as the limit does not run while another one blocks; SIGALRM would end the process by a signal, which looks like a crash.

--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -18,6 +18,7 @@
 
 from hingepitch import __version__
 from hingepitch.error import ExitCode, HingepitchError
+from hingepitch.exitlimit import end_process_after
 from hingepitch.log import configure_log, log_event, make_log_buffer, source_location
 from hingepitch.metric import Metrics
 from hingepitch.setting import load_settings
@@ -39,6 +40,10 @@
     #: Name of the program in its log lines.
     program = ""
 
+    #: Time from the signal to stop to the end of the process, in seconds, after which
+    #: the process ends whatever it still does. None: no limit.
+    exit_limit_seconds = None
+
     def __init__(self, settings):
         self.settings = settings
         self.exit_code = ExitCode.SUCCESS
@@ -92,10 +97,16 @@
         self.exit_code = ExitCode.BROKEN_INVARIANT if broken else ExitCode.FAILED
         self.stopping.set()
 
+    def stop_on_signal(self):
+        """Stop the process; the first signal starts the limit of the time for it."""
+        if self.exit_limit_seconds is not None and not self.stopping.is_set():
+            end_process_after(self.exit_limit_seconds, ExitCode.SUCCESS)
+        self.stopping.set()
+
     def run(self):
         """Run until a signal or a failure; return the exit code."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self.stopping.set)
+            gevent.signal_handler(number, self.stop_on_signal)
         try:
             self.setup()
             self.start()
