Spread the voters over halls if the settings ask for it

Cause: a lost voter was replaced by whichever learner was ready first, so three of five voters could come to be in one hall, whose loss then loses the quorum. The halls of bootstrap members were never known: the platform's settings name only their addresses.

While all voters respond and one more could be lost, a voter of a hall that is too full becomes a learner, and one elsewhere takes its place. Replicas announce themselves until their hall is in the list of members; an unknown hall speaks neither for nor against a member. Without the setting the steps are the same as before.

Weighed: a limit by the current number of voters instead of the wanted one would forbid the way from three voters to five over three halls.

--- a/hingepitch/control/healing.py
+++ b/hingepitch/control/healing.py
@@ -14,6 +14,12 @@
 import gevent
 
 from hingepitch.clock import lease_seconds
+from hingepitch.control.hallspread import (
+    UNKNOWN_HALL,
+    choose_learner,
+    find_crowded_voter,
+    survives_losses,
+)
 from hingepitch.control.message import Member
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.question import JoinGroup, MemberRow, encode
@@ -52,6 +58,9 @@
         Identities that have not responded for `UNRESPONSIVE_SECONDS`.
     `voters_wanted`
         How many voters the group should have.
+    `halls_tolerated`
+        1 or more: the loss of any one hall should leave a quorum. 0: halls do
+        not matter.
     """
 
     members: tuple[Member, ...]
@@ -60,6 +69,7 @@
     caught_up: frozenset[str]
     not_responding: frozenset[str]
     voters_wanted: int
+    halls_tolerated: int = 0
 
 
 def next_members(view):
@@ -71,8 +81,10 @@
     return (
         without_lost_disk(view)
         or with_new_learner(view)
+        or with_known_hall(view)
         or with_promoted_learner(view)
         or without_unresponsive_voter(view)
+        or without_crowded_voter(view)
     )
 
 
@@ -97,18 +109,27 @@
     return None
 
 
+def with_known_hall(view):
+    """Return the members with the announced hall of one member, or None."""
+    if not view.halls_tolerated:
+        return None
+    hall_by_identity = {one.identity: one.hall for one in view.applicants}
+    for member in view.members:
+        hall = hall_by_identity.get(member.identity, UNKNOWN_HALL)
+        if hall not in (UNKNOWN_HALL, member.hall):
+            return with_member(view.members, replace(member, hall=hall))
+    return None
+
+
 def with_promoted_learner(view):
     """Return the members with one learner promoted to a voter, or None."""
     voters = [member for member in view.members if member.voter]
     if len(voters) >= view.voters_wanted:
         return None
-    for member in ready_learners(view):
-        promoted = replace(member, voter=True)
-        return tuple(
-            promoted if other.identity == member.identity else other
-            for other in view.members
-        )
-    return None
+    learner = next_learner(view, view.members)
+    if learner is None:
+        return None
+    return with_member(view.members, replace(learner, voter=True))
 
 
 def without_unresponsive_voter(view):
@@ -116,14 +137,42 @@
 
     A voter is removed only if a learner is ready to replace it.
     """
-    if not any(ready_learners(view)):
-        return None
     for member in view.members:
         if member.voter and member.identity in view.not_responding:
-            return without_member(view.members, member)
+            members = without_member(view.members, member)
+            if next_learner(view, members) is not None:
+                return members
     return None
 
 
+def without_crowded_voter(view):
+    """Return the members with one voter of a hall that is too full as a learner.
+
+    None if there is no such voter, if no learner in another hall can replace it, or
+    if the group could not lose another voter meanwhile.
+    """
+    voters = [member for member in view.members if member.voter]
+    if not view.halls_tolerated or len(voters) < view.voters_wanted:
+        return None
+    if view.not_responding.intersection(member.identity for member in voters):
+        return None
+    crowded = find_crowded_voter(
+        view.members, list(ready_learners(view)), view.voters_wanted, view.leader
+    )
+    if crowded is None:
+        return None
+    members = with_member(view.members, replace(crowded, voter=False))
+    return members if survives_losses(members, view.not_responding, 1) else None
+
+
+def next_learner(view, members):
+    """Return the ready learner to promote next among `members`, or None."""
+    learners = list(ready_learners(view))
+    if not view.halls_tolerated:
+        return learners[0] if learners else None
+    return choose_learner(members, learners, view.voters_wanted, view.not_responding)
+
+
 def ready_learners(view):
     """Yield the learners that have caught up and respond."""
     for member in view.members:
@@ -132,6 +181,13 @@
             yield member
 
 
+def with_member(members, changed):
+    """Return `members` with `changed` in place of the member of its identity."""
+    return tuple(
+        changed if member.identity == changed.identity else member for member in members
+    )
+
+
 def without_member(members, removed):
     """Return `members` without the member `removed`."""
     return tuple(member for member in members if member.identity != removed.identity)
@@ -151,29 +207,48 @@
         from the replica, which reads it when it opens its data folder.
     `voters_wanted`
         How many voters the group should have; 0 disables automatic changes.
+    `halls_tolerated`
+        1 or more: the voters are spread over halls. Default: 0.
     """
 
-    def __init__(self, replica, peer_registry, group, self_member, voters_wanted):
+    def __init__(
+        self,
+        replica,
+        peer_registry,
+        group,
+        self_member,
+        voters_wanted,
+        halls_tolerated=0,
+    ):
         self.replica = replica
         self.peer_registry = peer_registry
         self.group = group
         self.self_member = self_member
         self.voters_wanted = voters_wanted
+        self.halls_tolerated = halls_tolerated
         self.applicant_by_identity = {}
         self.last_response_by_identity = {}
         self.leader_since = 0.0
 
     def announce(self):
-        """Announce this replica while it is no voter or knows no leader.
-
-        Runs until killed.
-        """
+        """Announce this replica while it is not settled. Runs until killed."""
         while True:
             gevent.sleep(ANNOUNCE_SECONDS)
-            core = self.replica.core
-            is_settled = core.identity in core.voters and core.leader
-            if self.voters_wanted and not is_settled:
-                self.announce_once(core.identity)
+            if self.voters_wanted and not self.is_settled():
+                self.announce_once(self.replica.core.identity)
+
+    def is_settled(self):
+        """Whether this replica is a voter, knows a leader, and its hall is known.
+
+        The settings with which a group is bootstrapped may not name the halls.
+        """
+        core = self.replica.core
+        if core.identity not in core.voters or not core.leader:
+            return False
+        return not self.halls_tolerated or any(
+            member.identity == core.identity and member.hall == self.self_member.hall
+            for member in core.members
+        )
 
     def announce_once(self, identity):
         """Announce this replica to the leader and store the members that it returns.
@@ -278,6 +353,7 @@
                 > UNRESPONSIVE_SECONDS
             ),
             voters_wanted=self.voters_wanted,
+            halls_tolerated=self.halls_tolerated,
         )
 
     def rows(self):
--- a/hingepitch/control/program.py
+++ b/hingepitch/control/program.py
@@ -81,6 +81,7 @@
             self.make_group(RECONCILER_CALL_SECONDS),
             Member("", settings.name, settings.rpc_address, settings.hall, False),
             settings.voters,
+            settings.halls_tolerated,
         )
         self.minions = MinionRoster()
         self.jobs = JobService(
--- a/hingepitch/control/settings.py
+++ b/hingepitch/control/settings.py
@@ -42,6 +42,10 @@
         Number of voters that the group maintains automatically: new replicas
         join as learners, and those that have caught up replace lost voters.
         0: only operators change the members. Default: 0.
+    `halls_tolerated`
+        Number of halls whose loss must leave a quorum. With 1 or more, the
+        automatically maintained voters are spread so that the loss of any one hall
+        does, if there are enough halls. Default: 0.
     `audit_megabytes`
         Size of the audit trail beyond which its oldest part is removed.
         Default: 1000.
@@ -57,3 +61,4 @@
     audit_megabytes: Annotated[int, Field(ge=1)] = 1000
     seed: int = 0
     voters: Annotated[int, Field(ge=0, le=9)] = 0
+    halls_tolerated: Annotated[int, Field(ge=0)] = 0
