Move the view of the pools out of the controller of moves

FleetView in poolview.py holds what a decision reads (spare, idle, moving and held VMs, the demand), the controller carries the moves out. A base class was chosen over a part of its own because the callers read these values of the controller.

--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -8,17 +8,14 @@
 :license: BSD, see LICENSE for details.
 """
 
-from collections import defaultdict
-
 import gevent
 from gevent.event import Event
 
 from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.jobs.command import BeginMove, EndMove, RemoveMinion
-from hingepitch.jobs.demand import Demand
-from hingepitch.jobs.fleet import FleetReply, VmState
-from hingepitch.jobs.load import PoolLoad
-from hingepitch.jobs.pool import IdleVm, PoolView, plan_moves
+from hingepitch.jobs.fleet import FleetReply
+from hingepitch.jobs.pool import plan_moves
+from hingepitch.jobs.poolview import FleetView
 from hingepitch.log import log_event
 
 __all__ = ["MoveController"]
@@ -51,33 +48,23 @@
 LIST_SECONDS = 5.0
 
 
-class MoveController:
+class MoveController(FleetView):
     """Plans and carries out the moves of VMs during one leadership.
 
     A move is first recorded in the log, then ordered from the platform.
 
-    `session`
-        The `Session` of the leadership.
     `platform`
         Client with `move(vm, pool, holder, fence, seconds)` and
         `list_vms(seconds)`.
-    `terms`
-        A `PoolTerms`.
-    `move_seconds`
-        Duration of a move; the VM accepts no other order meanwhile.
     `source_pool_by_vm`
         The spare pool that a VM was taken from, until the platform's answer
         settles the move.
-    `proposed_pool_by_vm`
-        Target pools of the moves that are proposed but not yet committed.
     `vms_in_call`
         VMs with a call to the platform in progress.
     `done`
         Moves, as pairs of VM and pool, that the platform has confirmed.
     `impossible`
         Pairs of VM kind and pool that the platform has refused.
-    `kinds_by_pool`
-        The kinds of VMs that were seen in each pool.
     `moved_at_by_vm`
         When the platform confirmed a move whose VM has not registered since.
     `has_shortage`
@@ -87,26 +74,17 @@
     """
 
     def __init__(self, session, platform, terms, move_seconds):
-        self.session = session
+        super().__init__(session, terms, move_seconds)
         self.platform = platform
-        self.terms = terms
-        self.move_seconds = move_seconds
         self.source_pool_by_vm = {}
-        self.proposed_pool_by_vm = {}
         self.vms_in_call = set()
         self.is_listing = False
         self.done = set()
         self.impossible = set()
-        self.held_until_by_vm = {}
-        self.idle_since_by_vm = {}
-        self.spare_pool_by_vm = {}
-        self.kind_by_vm = {}
-        self.kinds_by_pool = defaultdict(set)
         self.moved_at_by_vm = {}
         self.listed_at = 0.0
         self.wake = Event()
         self.has_shortage = False
-        self.demand = Demand(session, terms, move_seconds)
         self.gather_seconds = GATHER_SECONDS
 
     def run(self):
@@ -163,125 +141,6 @@
         if listed is not None:
             self.apply_vm_list(listed.rows)
 
-    def apply_vm_list(self, rows):
-        """Update the spare VMs and the kinds of all VMs from listed rows.
-
-        A spare VM that is on hold stays spare, whatever the list says. One that is
-        moving to a spare pool is on hold until the move is over: an earlier leader
-        may have ordered it.
-        """
-        spare_pools = {
-            pool.name for pool in self.session.table.config.pools if pool.is_spare
-        }
-        self.kind_by_vm = {row.vm: row.kind for row in rows}
-        for row in rows:
-            self.kinds_by_pool[row.pool].add(row.kind)
-        in_transit = {
-            vm: pool
-            for vm, pool in self.spare_pool_by_vm.items()
-            if lease_seconds() < self.held_until_by_vm.get(vm, 0.0)
-        }
-        spare = [
-            row
-            for row in rows
-            if row.pool in spare_pools
-            and row.state is not VmState.UPKEEP
-            and row.vm not in self.session.table.life_by_vm
-        ]
-        for row in spare:
-            if row.state is VmState.MOVING and row.vm not in self.spare_pool_by_vm:
-                self.hold(row.vm, self.move_seconds)
-        self.spare_pool_by_vm = in_transit | {row.vm: row.pool for row in spare}
-
-    def views(self, config, now):
-        """Yield a `PoolView` of each configured pool."""
-        loads = self.session.measure_pools()
-        in_upkeep = self.vms_in_upkeep()
-        taken = self.unavailable_vms(in_upkeep)
-        minions_by_pool = self.minions_by_pool()
-        for pool in config.pools:
-            load = loads.get(pool.name, PoolLoad())
-            view = PoolView(pool.name, is_spare=pool.is_spare)
-            if pool.is_spare:
-                view.idle = list(self.idle_spare_vms(pool.name, taken, now))
-                view.present = len(view.idle)
-            elif pool.name in self.session.table.queues.pools:
-                view.wanted = self.demand.wanted(pool.name, load, now)
-            if not pool.is_spare:
-                view.idle = list(self.idle_vms(minions_by_pool[pool.name], taken, now))
-                view.present = load.minions + self.incoming(pool.name)
-                view.present -= self.outgoing(pool.name)
-                view.present -= count_unavailable(minions_by_pool[pool.name], in_upkeep)
-                expired = self.expired_vms(minions_by_pool[pool.name], now) - in_upkeep
-                view.present -= count_unavailable(minions_by_pool[pool.name], expired)
-            view.kinds = frozenset(minion.kind for minion in minions_by_pool[pool.name])
-            self.kinds_by_pool[pool.name] |= view.kinds
-            yield view
-
-    def minions_by_pool(self):
-        """Return the registered minions of each pool."""
-        minions_by_pool = defaultdict(list)
-        for minion in self.session.table.minion_by_id.values():
-            minions_by_pool[minion.pool].append(minion)
-        return minions_by_pool
-
-    @property
-    def pool_by_moving_vm(self):
-        """Target pools of the VMs whose move is recorded or proposed."""
-        return self.proposed_pool_by_vm | self.session.table.move_by_vm
-
-    def incoming(self, pool):
-        """Return how many VMs are moving to a pool."""
-        return sum(to == pool for to in self.pool_by_moving_vm.values())
-
-    def outgoing(self, pool):
-        """Return how many registered VMs are moving out of a pool."""
-        table = self.session.table
-        lives = (table.life_by_vm.get(vm) for vm in self.pool_by_moving_vm)
-        minions = (table.minion_by_id[life] for life in lives if life)
-        return sum(minion.pool == pool for minion in minions)
-
-    def unavailable_vms(self, in_upkeep):
-        """Return the VMs that are moving, or in `in_upkeep`."""
-        return in_upkeep.union(self.pool_by_moving_vm)
-
-    def vms_in_upkeep(self):
-        """Return the VMs that are in maintenance or being drained for it.
-
-        A decision computes this set once: computing it for each VM took 5 % of
-        the leader's time with 272 minions.
-        """
-        leaving = self.session.upkeep.leaving_since_by_vm
-        return self.session.table.vms_in_upkeep().union(leaving)
-
-    def expired_vms(self, minions, now):
-        """Return the VMs of those `minions` whose lease has expired."""
-        agents = self.session.agent_by_minion
-        pairs = ((one.vm, agents.get(one.id)) for one in minions)
-        return {vm for vm, agent in pairs if agent and agent.is_lease_expired(now)}
-
-    def is_free(self, vm, taken, now):
-        """Whether a VM is neither in `taken` nor on hold."""
-        return vm not in taken and now > self.held_until_by_vm.get(vm, 0.0)
-
-    def idle_spare_vms(self, pool, taken, now):
-        """Yield an `IdleVm` for each spare VM of a pool that is free."""
-        for vm, at in self.spare_pool_by_vm.items():
-            if at == pool and self.is_free(vm, taken, now):
-                yield IdleVm(vm, self.kind_by_vm.get(vm, ""), 0.0)
-
-    def idle_vms(self, minions, taken, now):
-        """Yield an `IdleVm` for each of `minions` that has no runs and is free."""
-        table = self.session.table
-        for minion in minions:
-            vm = minion.vm
-            if table.runs_by_minion.get(minion.id) or minion.is_draining:
-                self.idle_since_by_vm.pop(vm, None)
-                continue
-            since = self.idle_since_by_vm.setdefault(vm, now)
-            if self.is_free(vm, taken, now):
-                yield IdleVm(vm, minion.kind, now - since)
-
     def begin(self, move):
         """Record the beginning of a move, then order it from the platform."""
         try:
@@ -400,19 +259,3 @@
             self.spare_pool_by_vm[vm] = pool
             self.hold(vm, self.move_seconds)
             self.session.propose(EndMove(vm))
-
-    def hold(self, vm, seconds):
-        """Give a VM no new move for the next `seconds`."""
-        until = lease_seconds() + seconds
-        self.held_until_by_vm[vm] = max(until, self.held_until_by_vm.get(vm, 0.0))
-
-
-def count_unavailable(minions, gone):
-    """Return how many of `minions` are on VMs in `gone` and are not draining.
-
-    A minion stays registered until the next incarnation on its VM registers. Counted
-    as present, unavailable ones would keep a pool from getting replacements: a
-    long-running task waited 3.7 s for a VM while a wave had taken down 45 of 272, and
-    8.3 s while a network partition cut off 5 minions of a pool.
-    """
-    return sum(one.vm in gone and not one.is_draining for one in minions)
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -623,7 +623,7 @@
         "VMs in maintenance count as present",
         (
             (
-                "jobs/mover.py",
+                "jobs/poolview.py",
                 "                view.present -= "
                 "count_unavailable(minions_by_pool[pool.name], in_upkeep)\n",
                 "",
