Pools order VMs elsewhere while a hall is cordoned

Pools counted the minions of a cordoned hall as capacity and as present, so they ordered no VMs elsewhere for the work that could no longer start there, and took spare VMs of the cordoned hall. Such minions now count as neither, no spare VM there is moved into a pool, and no pool borrows an idle one there. The mean size of a VM is taken over all minions, so that a pool that lies in cordoned halls only wants VMs for its work and not just its floor. Without a cordon nothing changes.

--- a/hingepitch/jobs/demand.py
+++ b/hingepitch/jobs/demand.py
@@ -105,7 +105,7 @@
         minions have not registered yet. Later it has lost all of its minions
         and wants replacements.
         """
-        if not load.minions and not self.is_known(now):
+        if not (load.minions or load.cordoned) and not self.is_known(now):
             return 0
         arriving = self.arriving(pool, now)
         wanted = wanted_minions(load, self.terms, arriving, self.move_seconds)
--- a/hingepitch/jobs/load.py
+++ b/hingepitch/jobs/load.py
@@ -22,7 +22,10 @@
     """The load of one pool; CPU in millicores, memory in MB (`..._mb`).
 
     `minions`, `room`, `room_mb`
-        Number and total capacity of the minions that are not draining.
+        Number and total capacity of the minions that are not draining and not in a
+        cordoned hall.
+    `cordoned`, `cordoned_room`, `cordoned_room_mb`
+        The same of the minions in cordoned halls.
     `running`, `running_mb`
         Requested by the runs in progress.
     `lasting`
@@ -36,13 +39,17 @@
     `spread`
         Minions that the widest waiting step needs because of `max_per_minion`.
     `largest`
-        The largest CPU, memory and accelerators of any minion. Tasks that need
-        more do not count as waiting, since no further minion would help them.
+        The largest CPU, memory and accelerators of any minion, also in cordoned
+        halls. Tasks that need more do not count as waiting, since no further minion
+        would help them.
     """
 
     minions: int = 0
     room: int = 0
     room_mb: int = 0
+    cordoned: int = 0
+    cordoned_room: int = 0
+    cordoned_room_mb: int = 0
     running: int = 0
     running_mb: int = 0
     lasting: int = 0
@@ -95,7 +102,13 @@
     largest.cpu_millicores = max(largest.cpu_millicores, minion.cpu_millicores)
     largest.memory_mb = max(largest.memory_mb, minion.memory_mb)
     largest.accelerators = max(largest.accelerators, minion.accelerators)
-    if not minion.is_draining:
+    if minion.is_draining:
+        return
+    if minion.hall in table.cordons:
+        load.cordoned += 1
+        load.cordoned_room += minion.cpu_millicores
+        load.cordoned_room_mb += minion.memory_mb
+    else:
         load.minions += 1
         load.room += minion.cpu_millicores
         load.room_mb += minion.memory_mb
--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -142,8 +142,15 @@
             self.apply_vm_list(listed.rows)
 
     def begin(self, move):
-        """Record the beginning of a move, then order it from the platform."""
+        """Record the beginning of a move, then order it from the platform.
+
+        The hall of a spare VM may have been cordoned since the move was planned.
+        """
         try:
+            if move.vm in self.spare_pool_by_vm and self.is_cordoned(
+                self.hall_of(move.vm)
+            ):
+                return
             is_recorded = self.session.propose(BeginMove(move.vm, move.pool))
         finally:
             self.proposed_pool_by_vm.pop(move.vm, None)
@@ -256,6 +263,8 @@
             command = RemoveMinion(minion.id, wall_ms(), minion.born_ms)
             self.session.propose(command)
         if config_pool is not None and config_pool.is_spare:
+            if minion is not None:
+                self.hall_by_vm[vm] = minion.hall
             self.spare_pool_by_vm[vm] = pool
             self.hold(vm, self.move_seconds)
             self.session.propose(EndMove(vm))
--- a/hingepitch/jobs/pool.py
+++ b/hingepitch/jobs/pool.py
@@ -8,6 +8,7 @@
 :license: BSD, see LICENSE for details.
 """
 
+import itertools
 from dataclasses import dataclass, field
 from math import ceil
 
@@ -56,11 +57,14 @@
         The VM's kind, which a pool may not accept.
     `idle_seconds`
         How long it has been idle.
+    `is_cordoned`
+        Whether its hall is cordoned; it may move to a spare pool only.
     """
 
     vm: str
     kind: str
     idle_seconds: float
+    is_cordoned: bool = False
 
 
 @dataclass(slots=True)
@@ -70,7 +74,10 @@
     `wanted`
         Number of minions that the pool wants.
     `present`
-        Number of minions that it has, moves in progress included.
+        Number of minions that it has, moves in progress included. Those in cordoned
+        halls do not count.
+    `cordoned`
+        Number of its idle VMs in cordoned halls.
     `is_spare`
         Whether its VMs are off and cost nothing.
     `kinds`
@@ -82,6 +89,7 @@
     name: str
     wanted: int = 0
     present: int = 0
+    cordoned: int = 0
     is_spare: bool = False
     kinds: frozenset[str] = frozenset()
     idle: list[IdleVm] = field(default_factory=list)
@@ -93,6 +101,11 @@
             return len(self.idle)
         return max(0, self.present - self.wanted)
 
+    @property
+    def cordoned_surplus(self):
+        """Number of VMs in cordoned halls that the pool can give to a spare pool."""
+        return max(0, min(self.cordoned, self.present + self.cordoned - self.wanted))
+
 
 @dataclass(frozen=True, slots=True)
 class Move:
@@ -118,17 +131,17 @@
     expected = load.lasting + arriving
     backlog = max(0, expected - load.room) * move_seconds
     expected += backlog / terms.catch_up_seconds
+    # The mean VM of the pool; a pool may have minions in cordoned halls only.
+    minions = load.minions + load.cordoned
     parts = (
-        (max(present, expected), load.room),
+        (max(present, expected), load.room + load.cordoned_room),
         (
             load.running_mb + load.waiting_mb - spared * load.waiting_late_mb,
-            load.room_mb,
+            load.room_mb + load.cordoned_room_mb,
         ),
     )
     needed = [
-        used / terms.target_utilization * load.minions / room
-        for used, room in parts
-        if room
+        used / terms.target_utilization * minions / room for used, room in parts if room
     ]
     return max(terms.floor, load.spread, *(ceil(one) for one in needed))
 
@@ -168,25 +181,32 @@
 
 
 def moves_to_spare(spare, pools, terms, impossible):
-    """Yield moves of long-idle VMs to the pool `spare`."""
-    for pool in pools:
-        while not pool.is_spare and pool.surplus:
-            idle = pick_idle(pool, spare, terms.idle_seconds, impossible)
+    """Yield moves of long-idle VMs to the pool `spare`.
+
+    Those in cordoned halls go first. They stay while their pool wants more VMs than it
+    has elsewhere, so that they are of use at once when their hall is uncordoned.
+    """
+    lenders = [pool for pool in pools if not pool.is_spare]
+    for pool, is_cordoned in itertools.product(lenders, (True, False)):
+        while pool.cordoned_surplus if is_cordoned else pool.surplus:
+            idle = pick_idle(pool, spare, terms.idle_seconds, impossible, is_cordoned)
             if idle is None:
                 break
             remove_idle(pool, idle)
             yield Move(idle.vm, spare.name)
 
 
-def pick_idle(donor, pool, seconds, impossible):
+def pick_idle(donor, pool, seconds, impossible, is_cordoned=False):
     """Return the longest idle VM of `donor` that may move to `pool`, or None.
 
-    VMs of a spare pool need not be idle for `seconds`.
+    VMs of a spare pool need not be idle for `seconds`. Either only VMs of cordoned
+    halls are considered (`is_cordoned`), or only others.
     """
     fitting = [
         idle
         for idle in donor.idle
-        if (donor.is_spare or idle.idle_seconds >= seconds)
+        if idle.is_cordoned == is_cordoned
+        and (donor.is_spare or idle.idle_seconds >= seconds)
         and (idle.kind, pool.name) not in impossible
         and (pool.is_spare or not pool.kinds or idle.kind in pool.kinds)
     ]
@@ -196,4 +216,7 @@
 def remove_idle(donor, idle):
     """Remove a VM from the view of its pool."""
     donor.idle.remove(idle)
-    donor.present -= 1
+    if idle.is_cordoned:
+        donor.cordoned -= 1
+    else:
+        donor.present -= 1
--- a/hingepitch/jobs/poolview.py
+++ b/hingepitch/jobs/poolview.py
@@ -39,6 +39,9 @@
         The spare pools of the VMs that are off.
     `kind_by_vm`
         The kinds of the VMs in the platform's list.
+    `hall_by_vm`
+        The halls of the VMs in the platform's list, and of those that went to a spare
+        pool since.
     `kinds_by_pool`
         The kinds of VMs that were seen in each pool.
     `demand`
@@ -54,6 +57,7 @@
         self.idle_since_by_vm = {}
         self.spare_pool_by_vm = {}
         self.kind_by_vm = {}
+        self.hall_by_vm = {}
         self.kinds_by_pool = defaultdict(set)
         self.demand = Demand(session, terms, move_seconds)
 
@@ -85,6 +89,8 @@
         for row in spare:
             if row.state is VmState.MOVING and row.vm not in self.spare_pool_by_vm:
                 self.hold(row.vm, self.move_seconds)
+        halls = {vm: self.hall_by_vm.get(vm, "") for vm in in_transit}
+        self.hall_by_vm = halls | {row.vm: row.hall for row in rows}
         self.spare_pool_by_vm = in_transit | {row.vm: row.pool for row in spare}
 
     def hold(self, vm, seconds):
@@ -100,6 +106,7 @@
         minions_by_pool = self.minions_by_pool()
         for pool in config.pools:
             load = loads.get(pool.name, PoolLoad())
+            minions = minions_by_pool[pool.name]
             view = PoolView(pool.name, is_spare=pool.is_spare)
             if pool.is_spare:
                 view.idle = list(self.idle_spare_vms(pool.name, taken, now))
@@ -107,13 +114,15 @@
             elif pool.name in self.session.table.queues.pools:
                 view.wanted = self.demand.wanted(pool.name, load, now)
             if not pool.is_spare:
-                view.idle = list(self.idle_vms(minions_by_pool[pool.name], taken, now))
+                usable = [one for one in minions if not self.is_cordoned(one.hall)]
+                view.idle = list(self.idle_vms(minions, taken, now))
+                view.cordoned = sum(idle.is_cordoned for idle in view.idle)
                 view.present = load.minions + self.incoming(pool.name)
                 view.present -= self.outgoing(pool.name)
-                view.present -= count_unavailable(minions_by_pool[pool.name], in_upkeep)
-                expired = self.expired_vms(minions_by_pool[pool.name], now) - in_upkeep
-                view.present -= count_unavailable(minions_by_pool[pool.name], expired)
-            view.kinds = frozenset(minion.kind for minion in minions_by_pool[pool.name])
+                view.present -= count_unavailable(usable, in_upkeep)
+                expired = self.expired_vms(usable, now) - in_upkeep
+                view.present -= count_unavailable(usable, expired)
+            view.kinds = frozenset(minion.kind for minion in minions)
             self.kinds_by_pool[pool.name] |= view.kinds
             yield view
 
@@ -129,16 +138,35 @@
         """Target pools of the VMs whose move is recorded or proposed."""
         return self.proposed_pool_by_vm | self.session.table.move_by_vm
 
+    def is_cordoned(self, hall):
+        """Whether no run may start in a hall."""
+        return hall in self.session.table.cordons
+
+    def hall_of(self, vm):
+        """Return the hall of a VM; empty if it is not known."""
+        table = self.session.table
+        minion = table.minion_by_id.get(table.life_by_vm.get(vm))
+        return minion.hall if minion is not None else self.hall_by_vm.get(vm, "")
+
     def incoming(self, pool):
-        """Return how many VMs are moving to a pool."""
-        return sum(to == pool for to in self.pool_by_moving_vm.values())
+        """Return how many VMs are moving to a pool, those of cordoned halls aside."""
+        return sum(
+            to == pool and not self.is_cordoned(self.hall_of(vm))
+            for vm, to in self.pool_by_moving_vm.items()
+        )
 
     def outgoing(self, pool):
-        """Return how many registered VMs are moving out of a pool."""
+        """Return how many registered VMs are moving out of a pool.
+
+        Those of cordoned halls do not count as present and are left out.
+        """
         table = self.session.table
         lives = (table.life_by_vm.get(vm) for vm in self.pool_by_moving_vm)
         minions = (table.minion_by_id[life] for life in lives if life)
-        return sum(minion.pool == pool for minion in minions)
+        return sum(
+            minion.pool == pool and not self.is_cordoned(minion.hall)
+            for minion in minions
+        )
 
     def unavailable_vms(self, in_upkeep):
         """Return the VMs that are moving, or in `in_upkeep`."""
@@ -164,9 +192,10 @@
         return vm not in taken and now > self.held_until_by_vm.get(vm, 0.0)
 
     def idle_spare_vms(self, pool, taken, now):
-        """Yield an `IdleVm` for each spare VM of a pool that is free."""
+        """Yield an `IdleVm` for each spare VM of a pool that is free and usable."""
         for vm, at in self.spare_pool_by_vm.items():
-            if at == pool and self.is_free(vm, taken, now):
+            is_usable = not self.is_cordoned(self.hall_of(vm))
+            if at == pool and is_usable and self.is_free(vm, taken, now):
                 yield IdleVm(vm, self.kind_by_vm.get(vm, ""), 0.0)
 
     def idle_vms(self, minions, taken, now):
@@ -179,7 +208,8 @@
                 continue
             since = self.idle_since_by_vm.setdefault(vm, now)
             if self.is_free(vm, taken, now):
-                yield IdleVm(vm, minion.kind, now - since)
+                is_cordoned = self.is_cordoned(minion.hall)
+                yield IdleVm(vm, minion.kind, now - since, is_cordoned)
 
 
 def count_unavailable(minions, gone):
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -625,7 +625,7 @@
             (
                 "jobs/poolview.py",
                 "                view.present -= "
-                "count_unavailable(minions_by_pool[pool.name], in_upkeep)\n",
+                "count_unavailable(usable, in_upkeep)\n",
                 "",
             ),
         ),
