Waves take VMs of cordoned halls first; no permissions are requested there

A wave took VMs in use while those of a cordoned hall got no work, and a step that needs permissions could hold one for a cordoned minion only and wait for it without asking about others. VMs of cordoned halls now go first, except those with a long-running task: such a task may have to wait for room, and a wave whose places it holds would stop.

--- a/hingepitch/jobs/permission.py
+++ b/hingepitch/jobs/permission.py
@@ -121,6 +121,8 @@
         minion = table.minion_by_id.get(life)
         if minion is None or table.is_leaving(minion):
             return False
+        if minion.hall in table.cordons:
+            return False
         job = table.job_by_id[step_key[0]]
         return not placement_rejection(table, job, TaskKey(*step_key, 0), minion)
 
@@ -156,6 +158,7 @@
         """Return the minion incarnations to ask about, the least used first.
 
         If the step has valid permissions, only minions with free capacity count.
+        Those in cordoned halls never do.
         """
         table = self.session.table
         pool = table.current_queue(table.job_by_id[step_key[0]]).pool
@@ -166,6 +169,7 @@
             one
             for one in table.minion_by_id.values()
             if one.pool == pool
+            and one.hall not in table.cordons
             and one.id not in known
             and now >= denied_until.get(one.id, 0.0)
             and (not known or self.has_capacity(step_key, one.id))
--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -143,18 +143,34 @@
         self.drain_leaving(wave, now)
 
     def choose_leaving(self, wave, now):
-        """Choose the VMs to drain next, those with the fewest runs first."""
+        """Choose the VMs to drain next, in their `leaving_order`."""
         chosen = [vm for vm in wave.vms_waiting if vm in self.leaving_since_by_vm]
         free = self.allowed_down(wave) - len(wave.vms_down) - len(chosen)
         moving = self.session.table.move_by_vm
         others = [
             vm for vm in wave.vms_waiting if vm not in chosen and vm not in moving
         ]
-        others.sort(key=lambda vm: (len(self.runs_on(vm)), vm))
+        others.sort(key=self.leaving_order)
         for vm in others[: max(0, free)]:
             self.leaving_since_by_vm[vm] = now
             log_event("upkeep_step", wave=wave.number, vm=vm, step="emptying")
 
+    def leaving_order(self, vm):
+        """Return the sort key by which VMs leave for their maintenance.
+
+        VMs of cordoned halls go first, as they get no new runs, then those with the
+        fewest runs. A VM with a long-running task has no precedence, since it may
+        have to wait until there is room for the task elsewhere.
+        """
+        runs = self.runs_on(vm)
+        steps = map(self.session.step_of, runs.values())
+        goes_first = self.session.mover.hall_of(
+            vm
+        ) in self.session.table.cordons and not any(
+            step is not None and step.lasts for step in steps
+        )
+        return (not goes_first, len(runs), vm)
+
     def allowed_down(self, wave):
         """Return how many VMs of a wave may be down at once now.
 
