Heartbeats say how long a minion is still slow after its start

Minions that start come up slow and say for how long (cold_ms); it was not decoded.

The heartbeat, the request to the leader (a field with a default, so that builds in the middle of an upgrade read each other) and the roster pass it to the agent, which keeps when the minion is warm on the lease clock and how long it was cold when first seen. A report that was overtaken changes nothing, and a report that comes before the agent is kept for it: the planning pass after it would else place runs as on a warm minion.

Weighed: a field of the minion's record. It would write the log with every heartbeat.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -33,6 +33,7 @@
 from hingepitch.jobs.renewal import RenewalHistory
 from hingepitch.jobs.replytime import ReplyTime
 from hingepitch.jobs.runview import RunView, RunViewStatus
+from hingepitch.jobs.warmth import WARM
 from hingepitch.log import log_event
 
 __all__ = ["Agent"]
@@ -83,6 +84,8 @@
     `is_succeeded`
         Whether another incarnation of the minion has answered. The agent then
         gives no orders; it is replaced once the other one reports.
+    `warmth`
+        The `Warmth` of the incarnation, from its newest heartbeat.
     `session`
         The `Session` of the leadership: supplies the fencing token of orders and
         records the ends of runs.
@@ -108,6 +111,7 @@
         self.placement_paused_until = 0.0
         self.filler_percent = 100
         self.health = MinionHealth()
+        self.warmth = WARM
         self.status_poller = StatusPoller(self)
         self.is_gone = False
         self.is_succeeded = False
--- a/hingepitch/jobs/agentregistry.py
+++ b/hingepitch/jobs/agentregistry.py
@@ -11,10 +11,12 @@
 
 import gevent
 
+from hingepitch.clock import lease_seconds
 from hingepitch.jobs.agent import Agent
 from hingepitch.jobs.contact import PollOrder, PollResult, Reply, ReplyKind
 from hingepitch.jobs.record import is_same_birth
 from hingepitch.jobs.replytime import MAX_TIMEOUT_SECONDS
+from hingepitch.jobs.warmth import WARM
 from hingepitch.log import log_event
 
 __all__ = ["AgentRegistry"]
@@ -34,6 +36,8 @@
         address cannot be called.
     `by_minion`
         The agents, by incarnation.
+    `early_warmth_by_minion`
+        The `Warmth` of the incarnations that are recorded and have no agent yet.
     `uncallable`
         Addresses that no client could be created for, by incarnation.
     """
@@ -42,6 +46,7 @@
         self.session = session
         self.connect = connect
         self.by_minion = {}
+        self.early_warmth_by_minion = {}
         self.uncallable = {}
 
     def reconcile(self):
@@ -51,6 +56,8 @@
             if minion_id not in table.minion_by_id:
                 agent.stop()
                 del self.by_minion[minion_id]
+        for minion_id in self.early_warmth_by_minion.keys() - table.minion_by_id:
+            del self.early_warmth_by_minion[minion_id]
         for minion_id, minion in list(table.minion_by_id.items()):
             agent = self.by_minion.get(minion_id)
             if agent is None:
@@ -76,6 +83,7 @@
             self.session.spawn(self.remove_uncallable, minion)
             return None
         agent = self.by_minion[minion.id] = Agent(minion, client, self.session)
+        agent.warmth = self.early_warmth_by_minion.pop(minion.id, WARM)
         agent.start()
         return agent
 
@@ -95,6 +103,24 @@
         if successor is not None:
             successor.inherit(agent)
 
+    def note_cold(self, minion_id, cold_ms):
+        """Note for how long the recorded incarnation of a minion is still cold.
+
+        Its first heartbeat comes before the agent, which the next planning pass
+        starts; without it, that pass would place runs there as on a warm minion.
+        """
+        minion = self.session.table.minion_by_id.get(minion_id)
+        if minion is None:
+            return
+        agent = self.by_minion.get(minion_id)
+        if agent is not None and is_same_birth(agent.minion.born_ms, minion.born_ms):
+            agent.warmth = agent.warmth.updated(cold_ms, lease_seconds())
+        elif cold_ms:
+            warmth = WARM.updated(cold_ms, lease_seconds())
+            self.early_warmth_by_minion[minion_id] = warmth
+        else:
+            self.early_warmth_by_minion.pop(minion_id, None)
+
     def make_client(self, minion):
         """Return a client for a minion, or None if its address cannot be called."""
         try:
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -102,10 +102,10 @@
             self.session = None
             self.roster.clear()
 
-    def note_heartbeat(self, minion_id, clock_ms):
+    def note_heartbeat(self, minion_id, clock_ms, cold_ms=None):
         """Pass a heartbeat on to the current session, if there is one."""
         if self.session is not None:
-            self.session.note_heartbeat(minion_id, clock_ms)
+            self.session.note_heartbeat(minion_id, clock_ms, cold_ms)
 
     def blame_for(self, life):
         """Return the `Blame` for an incarnation that has ended.
--- a/hingepitch/jobs/registration.py
+++ b/hingepitch/jobs/registration.py
@@ -104,7 +104,7 @@
                 sequence=heartbeat.sequence,
                 born=minion.born_ms,
             )
-        self.roster.pass_heartbeat(minion.id, heartbeat.clock_ms)
+        self.roster.pass_heartbeat(heartbeat)
 
     def register(self, minion):
         """Record a minion; a new incarnation takes the place of the one before."""
--- a/hingepitch/jobs/roster.py
+++ b/hingepitch/jobs/roster.py
@@ -19,7 +19,8 @@
     `sequence_by_incarnation`
         Sequence number of the last heartbeat, by id and time of birth.
     `on_heartbeat`
-        Callback with an incarnation and its clock, for each new heartbeat.
+        Callback with an incarnation, its clock and for how long it is still cold (None
+        if a newer heartbeat has told that), for each new heartbeat.
     `on_crash`
         Callback that returns the `Blame` for the end of an incarnation that is
         replaced by a newer one on its VM.
@@ -46,7 +47,7 @@
 
     def note(self, heartbeat):
         """Note a heartbeat; return whether it is newer than all earlier ones."""
-        key = (heartbeat.minion.id, heartbeat.minion.born_ms)
+        key = incarnation_key(heartbeat)
         if heartbeat.sequence <= self.sequence_by_incarnation.get(key, -1):
             return False
         self.sequence_by_incarnation[key] = heartbeat.sequence
@@ -56,7 +57,18 @@
         """Return the `Blame` for an incarnation that a newer one replaces."""
         return self.on_crash(life) if self.on_crash is not None else NO_BLAME
 
-    def pass_heartbeat(self, minion_id, clock_ms):
-        """Pass the heartbeat of a minion to the dispatcher."""
-        if self.on_heartbeat is not None:
-            self.on_heartbeat(minion_id, clock_ms)
+    def pass_heartbeat(self, heartbeat):
+        """Pass the heartbeat of a minion to the dispatcher.
+
+        A newer one may have been passed while the record of this one was committed.
+        """
+        if self.on_heartbeat is None:
+            return
+        newest = self.sequence_by_incarnation.get(incarnation_key(heartbeat))
+        cold_ms = heartbeat.cold_ms if newest == heartbeat.sequence else None
+        self.on_heartbeat(heartbeat.minion.id, heartbeat.clock_ms, cold_ms)
+
+
+def incarnation_key(heartbeat):
+    """Return the id and the time of birth of the incarnation that sent a heartbeat."""
+    return (heartbeat.minion.id, heartbeat.minion.born_ms)
--- a/hingepitch/jobs/terms.py
+++ b/hingepitch/jobs/terms.py
@@ -12,7 +12,21 @@
 
 from hingepitch.jobs.pool import PoolTerms
 
-__all__ = ["DispatchSettings"]
+__all__ = ["ColdTerms", "DispatchSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class ColdTerms:
+    """Limits for runs on a minion that is still slow after its start.
+
+    `overage`
+        Factor on the mean number of runs of the warm minions of the pool.
+    `slack`
+        Number of runs beyond that.
+    """
+
+    overage: float
+    slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +54,10 @@
         How long a VM is unavailable while it changes pool.
     `cross_rack_slowdown`
         Factor by which tasks that prefer one rack are slower across racks.
+    `cold`
+        The `ColdTerms`, or None to treat every minion as warm.
+    `spreads_over_halls`
+        Whether the tasks of a long-running step are spread over halls.
     `pools`
         The `PoolTerms`, which decide when VMs change pool.
     """
@@ -54,6 +72,8 @@
     upkeep_seconds: float = 2.0
     move_seconds: float = 1.5
     cross_rack_slowdown: float = 2.0
+    cold: ColdTerms | None = None
+    spreads_over_halls: bool = False
     pools: PoolTerms = PoolTerms()
 
     @property
