--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -18,6 +18,7 @@
 from hingepitch.jobs.ledger import AccountUsage
 from hingepitch.jobs.rack import minions_for_one_rack
 from hingepitch.jobs.record import TaskStatus
+from hingepitch.jobs.score import best_minion
 from hingepitch.jobs.spec import TaskKey
 from hingepitch.jobs.usage import ResourceUsage
 
@@ -290,39 +291,3 @@
     """Whether `step` may run on any minion of the pool, whatever its capacity."""
     restricted = step.required_label or step.max_per_minion or step.same_rack
     return not restricted and current_queue.advice is None
-
-
-def best_minion(work, key, step, candidates, is_suspect=False, avoided=()):
-    """Return the best minion for one more task of a step, or None if none fits.
-
-    Preferences, in this order:
-
-    - A VM outside `avoided`, on which the task has not crashed a minion yet.
-    - A minion in the rack that holds the data.
-    - For a long-running task, a VM without pending maintenance, which would
-      evict it again; the tasks of a step are evicted one at a time.
-    - The lowest penalty.
-    - The least free CPU, so that idle minions stay idle and can be lent. A
-      suspect gets the most free CPU instead, where a crash affects the fewest
-      other runs.
-    """
-    task_counts = work.task_counts(key)
-    best = None
-    best_score = None
-    for minion in candidates:
-        if step.max_per_minion and task_counts.get(minion.id, 0) >= step.max_per_minion:
-            continue
-        used = work.room(minion)
-        if not used.fits(minion, step):
-            continue
-        utilization = used.cpu_millicores / max(1, minion.cpu_millicores)
-        score = (
-            minion.vm in avoided,
-            bool(step.data_rack) and minion.rack != step.data_rack,
-            step.lasts and minion.vm in work.vms_due,
-            work.plan_context.penalty_by_minion.get(minion.id, 0.0),
-            utilization if is_suspect else -utilization,
-        )
-        if best is None or score < best_score:
-            best, best_score = minion, score
-    return best
--- /dev/null
+++ b/hingepitch/jobs/score.py
@@ -0,0 +1,52 @@
+"""
+hingepitch.jobs.score
+~~~~~~~~~~~~~~~~~~~~~
+
+The choice of a minion for a task: pure functions over a planning pass.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+__all__ = ["best_minion"]
+
+
+def best_minion(work, key, step, candidates, is_suspect=False, avoided=()):
+    """Return the best minion for one more task of a step, or None if none fits."""
+    task_counts = work.task_counts(key)
+    best = None
+    best_score = None
+    for minion in candidates:
+        if step.max_per_minion and task_counts.get(minion.id, 0) >= step.max_per_minion:
+            continue
+        used = work.room(minion)
+        if not used.fits(minion, step):
+            continue
+        score = score_minion(work, step, minion, used, is_suspect, avoided)
+        if best is None or score < best_score:
+            best, best_score = minion, score
+    return best
+
+
+def score_minion(work, step, minion, used, is_suspect, avoided):
+    """Return the score of a minion for one more task of `step`; the lowest is best.
+
+    Preferences, in this order:
+
+    - A VM outside `avoided`, on which the task has not crashed a minion yet.
+    - A minion in the rack that holds the data.
+    - For a long-running task, a VM without pending maintenance, which would
+      evict it again; the tasks of a step are evicted one at a time.
+    - The lowest penalty.
+    - The least free CPU, so that idle minions stay idle and can be lent. A
+      suspect gets the most free CPU instead, where a crash affects the fewest
+      other runs.
+    """
+    utilization = used.cpu_millicores / max(1, minion.cpu_millicores)
+    return (
+        minion.vm in avoided,
+        bool(step.data_rack) and minion.rack != step.data_rack,
+        step.lasts and minion.vm in work.vms_due,
+        work.plan_context.penalty_by_minion.get(minion.id, 0.0),
+        utilization if is_suspect else -utilization,
+    )
