An entry listens for callers before it has loaded its parts

After a loss of power an entry takes a second and more to load at half a core. The callers' socket is now opened first, so they wait for the answer. The readiness check stays closed until the entry serves, so the balancer still prefers others. Replicas do not listen early: other processes ask the next replica when they are refused.

--- a/hingepitch/httpd.py
+++ b/hingepitch/httpd.py
@@ -15,12 +15,13 @@
 from io import BytesIO
 
 import falcon
-import gevent
+import gevent.socket
 import msgspec
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from hingepitch.error import ERROR_BY_CODE, HingepitchError
+from hingepitch.listener import BACKLOG, take_listener
 from hingepitch.log import log_event, source_location
 from hingepitch.patch import unpatched_poll
 from hingepitch.setting import parse_address
@@ -312,14 +313,15 @@
     def __init__(self, address, application, connections=2000):
         self.address = address
         self.pool = Pool(connections)
+        listener, backlog = make_listener(address)
         self.server = WSGIServer(
-            parse_address(address),
+            listener,
             application,
             handler_class=StrictHandler,
             spawn=self.pool,
             log=None,
             error_log=None,
-            backlog=1024,
+            backlog=backlog,
         )
         handle = self.server.handle
         self.server.handle = lambda sock, peer: self.set_socket_options(
@@ -350,6 +352,18 @@
         self.server.close()
 
 
+def make_listener(address):
+    """Return what a server listens on, and the backlog for it.
+
+    This is the socket that was opened early on `address`, which has a backlog already,
+    or else `(ip, port)`.
+    """
+    descriptor = take_listener(address)
+    if descriptor is None:
+        return parse_address(address), BACKLOG
+    return gevent.socket.socket(fileno=descriptor), None
+
+
 def wait_until(condition, seconds, step=0.02):
     """Poll `condition()` for up to `seconds`; return whether it came true."""
     with gevent.Timeout(seconds, False):
