No start is planned, sent or sent again in a cordoned hall

Cause: the log refuses new starts in a cordoned hall, but the planner still chose its minions, a run that was recorded before was still ordered, and an agent repeated a start that got no answer. Change: the planner leaves out minions of cordoned halls. A run that was not ordered yet ends as never started. A start without an answer is not repeated; this is checked again at the moment of the repeat. Its run counts until a poll or the lease settles it, as before. An order that the client could not send (NOT_SENT) already ended its run, and the log refuses the next one there. Stops, polls and ends are untouched. Weighed: a check in the client after it has connected; it drops an order after 0.4 s anyway, within the 5 s that are allowed.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -332,7 +332,8 @@
 
         Starts are idempotent: a minion starts a run number once, however often it
         is ordered. The repetition covers an order whose reply is lost, or that is
-        carried out late.
+        carried out late. In a cordoned hall an order is not repeated: its run counts
+        until a status poll or the end of the lease settles it.
         """
         first = gevent.spawn(self.timed_call, self.client.start, order)
         calls = [first]
@@ -342,7 +343,7 @@
                 return first.get()
             if not self.may_repeat(view):
                 return first.get()
-            calls.append(gevent.spawn(self.timed_call, self.client.start, order))
+            calls.append(gevent.spawn(self.repeat_start, view, order))
             for call in gevent.iwait(calls):
                 if call.get().kind in SETTLING_KINDS:
                     return call.get()
@@ -350,6 +351,12 @@
         finally:
             gevent.killall(calls, block=False)
 
+    def repeat_start(self, view, order):
+        """Order a start again unless that has become impermissible meanwhile."""
+        if not self.may_repeat(view):
+            return Reply(ReplyKind.NOT_SENT)
+        return self.timed_call(self.client.start, order)
+
     def may_repeat(self, view):
         """Whether the start of a run may still be ordered."""
         return (
@@ -357,6 +364,7 @@
             and self.session.may_order()
             and self.session.is_wanted(view.run)
             and not self.minion.is_draining
+            and self.minion.hall not in self.session.table.cordons
         )
 
     def timed_call(self, call, order):
--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -86,10 +86,12 @@
         return self.table.vms_due()
 
     def minions(self, pool):
-        """Return the usable minions of a pool."""
+        """Return the usable minions of a pool outside cordoned halls."""
         if not self.minions_by_pool:
             for minion in self.table.minion_by_id.values():
                 usable = minion.id in self.plan_context.usable
+                if minion.hall in self.table.cordons:
+                    continue
                 if usable and not self.table.is_leaving(minion):
                     self.minions_by_pool.setdefault(minion.pool, []).append(minion)
         return self.minions_by_pool.get(pool, [])
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -173,6 +173,8 @@
         task = self.table.task(run.task)
         if minion is None or minion.is_draining or task is None:
             return None
+        if minion.hall in self.table.cordons:
+            return None
         # The minion's capacity may have shrunk since the run was placed.
         if self.table.usage_by_minion[run.minion].exceeds(minion):
             return None
--- a/tests/test_job_rules.py
+++ b/tests/test_job_rules.py
@@ -18,6 +18,8 @@
     commands.PutQueues: Role.OPERATOR,
     commands.PutAccountQueues: Role.OPERATOR,
     commands.PutWave: Role.OPERATOR,
+    commands.CordonHall: Role.OPERATOR,
+    commands.UncordonHall: Role.OPERATOR,
     commands.AcceptJob: Role.ENTRY,
     commands.CancelJob: Role.ENTRY,
 }
