Drain long-running tasks from cordoned halls

A hall is cordoned because it will go away, and its long-running tasks would go with it unless somebody moved them. The planning pass now stops them by the path of maintenance, within the disruption budget of their step, and only while a usable minion elsewhere has room for the task. Room that waiting long-running tasks and those being stopped need is taken off first, so no more leave than there is room for. The pass comes after the starts are recorded, since a waiting task could otherwise take the room that was counted on. A stop that was not sent yet is withdrawn when the hall is uncordoned: the agent checks it where it checks the budget.

--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -30,6 +30,7 @@
 from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
+from hingepitch.jobs.halldrain import HallDrain
 from hingepitch.jobs.isolation import SuspectWaitTracker
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveController
@@ -84,6 +85,8 @@
         The long-running tasks that ended right after their start.
     `planner`
         The `StartPlanner` of this leadership.
+    `hall_drain`
+        The `HallDrain` of this leadership.
     `suspect_waits`
         The `SuspectWaitTracker` of the tasks that must start in isolation.
     `inherited`
@@ -98,6 +101,7 @@
         self.durations = Durations()
         self.permissions = PermissionController(self, adviser)
         self.watch = RunWatch(self)
+        self.hall_drain = HallDrain(self)
         self.upkeep = UpkeepController(self, platform, terms.upkeep_seconds)
         self.mover = MoveController(self, platform, terms.pools, terms.move_seconds)
         self.fence = replica.core.term
--- a/hingepitch/jobs/startplanner.py
+++ b/hingepitch/jobs/startplanner.py
@@ -52,8 +52,13 @@
             return
         self.open_due_rounds()
         self.session.watch.evacuate_draining()
-        if not self.table.ready_steps:
-            return
+        if self.table.ready_steps:
+            self.start_ready_tasks()
+        # Afterwards, so that room that waiting tasks take is not counted on.
+        self.session.hall_drain.run_pass()
+
+    def start_ready_tasks(self):
+        """Plan the starts of waiting tasks and record them."""
         began = lease_seconds()
         starts, gangs = plan_starts(self.table, self.plan_context())
         # Planning takes at most half of the time, however much work waits.
@@ -62,15 +67,20 @@
             self.session.propose(StartRuns(starts, gangs, wall_ms()))
             self.session.agents.reconcile()
 
+    def usable_minions(self, now):
+        """Return the incarnations of minions that may take new runs."""
+        return {
+            minion_id
+            for minion_id, agent in self.session.agent_by_minion.items()
+            if agent.may_start(now) and agent.minion.hall not in self.table.cordons
+        } - self.session.upkeep.leaving_incarnations
+
     def plan_context(self):
         """Return the planner's input that is not in the job table."""
         now = lease_seconds()
         session = self.session
         agents = session.agent_by_minion
-        usable = {
-            minion_id for minion_id, agent in agents.items() if agent.may_start(now)
-        }
-        usable -= session.upkeep.leaving_incarnations
+        usable = self.usable_minions(now)
         return PlanContext(
             wall_ms(),
             usable,
--- a/tests/test_cordoned_pools.py
+++ b/tests/test_cordoned_pools.py
@@ -20,10 +20,12 @@
 
 
 def cordon(log, hall, is_cordoned=True):
+    """Cordon or uncordon a hall as an operator does; return the outcome's code."""
     revision = log.table.cordons.revision
+    command = commands.UncordonHall(hall, revision)
     if is_cordoned:
-        return log.send_as_operator(commands.CordonHall(hall, 7, revision))
-    return log.send_as_operator(commands.UncordonHall(hall, revision))
+        command = commands.CordonHall(hall, 7, revision)
+    return log.apply(Envelope(Role.OPERATOR, "", "test", command)).code
 
 
 class HallLog(Log):
@@ -40,9 +42,6 @@
             minion = make_minion(number, hall=f"h{number // 2}")
             self.send(commands.RegisterMinion(minion, 0))
 
-    def send_as_operator(self, command):
-        return self.apply(Envelope(Role.OPERATOR, "", "test", command)).code
-
     def load(self):
         return measure_pools(self.table, 0, Durations())["pool"]
 
--- a/tests/test_cordoned_steps.py
+++ b/tests/test_cordoned_steps.py
@@ -27,7 +27,7 @@
     session.mover = make_controller(log)
     session.mover.apply_vm_list([VmRow("vm-9", "off", VmState.UP, "h1", "", "a")])
     vms = ("vm-0", "vm-1", "vm-2", "vm-3", "vm-9")
-    log.send_as_operator(commands.PutWave(1, vms, max_down, wall_ms() + 60_000))
+    log.send(commands.PutWave(1, vms, max_down, wall_ms() + 60_000))
     session.step_of = lambda run: log.table.job_by_id[JOB].spec.steps[run.task.step]
     controller = UpkeepController(session, None, 1.0)
     controller.choose_leaving(log.table.wave_by_number[1], lease_seconds())
--- /dev/null
+++ b/tests/test_hall_drain.py
@@ -0,0 +1,257 @@
+"""Long-running tasks leave a cordoned hall one by one, only for room elsewhere."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from hingepitch.httpd import wait_until
+from hingepitch.jobs import command as commands
+from hingepitch.jobs.halldrain import HallDrain
+from hingepitch.jobs.runview import RunView, RunViewStatus
+from hingepitch.jobs.spec import Step
+from hingepitch.jobs.watch import UPKEEP_REASON, RunWatch
+from standin.taskminion import TaskMinion
+from tests.test_cordoned_pools import HallLog, cordon
+from tests.test_dispatch import SECONDS, DispatchHarness
+from tests.test_job_rules import make_minion, task
+
+
+class HallHarness(DispatchHarness):
+    """A dispatcher with two minions in each of the halls `h0` and `h1`."""
+
+    def __init__(self):
+        super().__init__(*(TaskMinion() for _ in range(4)))
+
+    def register(self, number, minion):
+        record = make_minion(
+            number,
+            id=minion.life,
+            address=minion.address,
+            cpu_millicores=16_000,
+            hall=f"h{number // 2}",
+        )
+        self.log.send(commands.RegisterMinion(record, 0))
+
+    def cordon(self, hall, is_cordoned=True):
+        assert cordon(self.log, hall, is_cordoned) == ""
+        self.replica.wake()
+
+    def running(self, hall):
+        """Return the number of runs at work on the minions of a hall."""
+        number = int(hall[1:])
+        return sum(len(one.running) for one in self.minions[2 * number :][:2])
+
+
+@pytest.fixture
+def harness():
+    made = HallHarness()
+    assert wait_until(lambda: made.dispatcher.session is not None, SECONDS)
+    yield made
+    made.close()
+
+
+def start_lasting(harness, count, **fields):
+    """Start a step of long-running tasks and wait until all are at work."""
+    harness.submit(Step(count, lasts=True, **fields))
+    watch = harness.dispatcher.session.watch
+    tasks = [task(index=index) for index in range(count)]
+    assert wait_until(lambda: all(map(watch.is_at_work, tasks)), SECONDS)
+    assert wait_until(watch.is_settled, SECONDS)
+    return tasks
+
+
+# Guards against tasks that stay in a hall that goes away, against more of them away at
+# once than their step allows, and against a task that moves to another cordoned minion.
+def test_tasks_leave_a_cordoned_hall_one_by_one(harness):
+    tasks = start_lasting(harness, 4, max_away=1, max_per_minion=2)
+    watch = harness.dispatcher.session.watch
+    evacuate = watch.evacuate
+    away = []
+
+    def note(run, reason):
+        away.append(sum(not watch.is_at_work(one) for one in tasks))
+        evacuate(run, reason)
+
+    watch.evacuate = note
+    before = [len(one.starts) for one in harness.minions[:2]]
+    moving = harness.running("h0")
+    assert moving
+    harness.cordon("h0")
+    assert wait_until(lambda: harness.running("h1") == 4, 30)
+    assert away == [0] * moving
+    assert [len(one.starts) for one in harness.minions[:2]] == before
+
+
+# Guards against a stop that is sent although the hall is used again.
+def test_a_stop_that_was_not_sent_yet_is_withdrawn_with_the_cordon(harness):
+    start_lasting(harness, 1)
+    session = harness.dispatcher.session
+    (run,) = harness.log.table.run_by_task.values()
+    hall = harness.log.table.minion_by_id[run.minion].hall
+    agent = session.agent_by_minion[run.minion]
+    while agent.orders.acquire(blocking=False):
+        pass
+    harness.cordon(hall)
+    assert wait_until(lambda: session.watch.evacuated, SECONDS)
+    harness.cordon(hall, is_cordoned=False)
+    for _ in range(2):
+        agent.orders.release()
+    assert wait_until(lambda: not session.watch.evacuated, SECONDS)
+    assert wait_until(lambda: not agent.view_by_task[task()].is_ordering, SECONDS)
+    assert session.watch.is_at_work(task())
+    assert harness.log.table.run_by_task[task()] is run
+
+
+class RoomLog(HallLog):
+    """Records long-running tasks on the minions of two halls, and drains `h0`.
+
+    Each minion has room for two tasks of 2,000 millicores.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.is_within_budget = True
+        agents = {life: self.agent(life) for life in self.table.minion_by_id}
+        session = SimpleNamespace(
+            table=self.table,
+            agent_by_minion=agents,
+            runs_of=lambda life: self.table.runs_by_minion.get(life, {}),
+            step_of=lambda run: self.table.job_by_id[run.task.job].spec.steps[
+                run.task.step
+            ],
+            planner=SimpleNamespace(usable_minions=self.usable_minions),
+        )
+        self.watch = session.watch = RunWatch(session)
+        self.watch.is_within_budget = lambda run, step: self.is_within_budget
+        session.is_wanted = lambda run: (
+            (run.task, run.number) not in self.watch.evacuated
+        )
+        self.drain = session.hall_drain = HallDrain(session)
+
+    @staticmethod
+    def agent(life):
+        wake = SimpleNamespace(set=lambda: None)
+        return SimpleNamespace(is_unresponsive=False, wake=wake, view_by_task={})
+
+    def usable_minions(self, now):
+        minions = self.table.minion_by_id.values()
+        return {one.id for one in minions if one.hall not in self.table.cordons}
+
+    def place(self, *lives, **fields):
+        """Submit a step of long-running tasks with one on each minion of `lives`."""
+        fields = {"cpu_millicores": 2000, "lasts": True, **fields}
+        self.submit(Step(len(lives), **fields))
+        for index, life in enumerate(lives):
+            assert self.start(task(index=index), minion=life) == [True]
+
+    def evacuated(self):
+        """Make a pass; return the indexes of the tasks that are evacuated."""
+        self.drain.passed_at = 0.0
+        self.drain.run_pass()
+        assert set(self.watch.evacuated.values()) <= {UPKEEP_REASON}
+        return sorted(key.index for key, _ in self.watch.evacuated)
+
+
+# Guards against tasks that are stopped and then wait for a VM, since more of them left
+# than there is room for, in one pass or in several.
+def test_no_more_tasks_leave_than_there_is_room_for():
+    log = RoomLog()
+    log.place("i-0", "i-0", "i-1", "i-1", "i-2", "i-3", "i-3")
+    cordon(log, "h0")
+    assert len(log.evacuated()) == 1
+    assert len(log.evacuated()) == 1
+    (key,) = log.watch.evacuated
+    log.end(key[0])
+    assert len(log.evacuated()) == 1, "its task waits and needs the room"
+    log.send(commands.RegisterMinion(make_minion(8, hall="h2"), 0))
+    assert len(log.evacuated()) == 3
+
+
+# Guards against a task that can run nowhere else and is stopped all the same.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"cpu_millicores": 4000},
+        {"required_label": "other"},
+        {"max_per_minion": 1},
+    ],
+)
+def test_a_task_without_room_elsewhere_stays(fields):
+    log = RoomLog()
+    for life, hall in (("i-0", "h0"), ("i-1", "h0")):
+        labels = ("a", "other")
+        minion = make_minion(int(life[2:]), hall=hall, labels=labels)
+        log.send(commands.RegisterMinion(minion, 0))
+    fields = {"cpu_millicores": 2000, **fields}
+    if "max_per_minion" in fields:
+        log.place("i-0", "i-2", "i-3", **fields)
+    else:
+        log.place("i-0", **fields)
+        other = "00000000000000bb"
+        log.submit(Step(2, 1000), job=other)
+        log.start(task(job=other), minion="i-2")
+        log.start(task(job=other, index=1), minion="i-3")
+    cordon(log, "h0")
+    assert not log.evacuated()
+
+
+# Guards against a step with more tasks away than its budget allows.
+def test_a_task_stays_while_the_budget_of_its_step_is_spent():
+    log = RoomLog()
+    log.place("i-0", max_away=1)
+    log.is_within_budget = False
+    cordon(log, "h0")
+    assert not log.evacuated()
+    log.is_within_budget = True
+    assert log.evacuated() == [0]
+
+
+# Guards against a stop of tasks that end by themselves, of tasks in other halls and of
+# any task without a cordon; and against the wait for a minion that does not answer.
+def test_only_long_running_tasks_of_cordoned_halls_are_drained():
+    log = RoomLog()
+    log.place("i-0", "i-2")
+    other = "00000000000000bb"
+    log.submit(Step(1, 1000), job=other)
+    log.start(task(job=other), minion="i-1")
+    assert not log.evacuated()
+    cordon(log, "h0")
+    agent = log.drain.session.agent_by_minion["i-0"]
+    agent.is_unresponsive = True
+    assert not log.evacuated()
+    agent.is_unresponsive = False
+    assert log.evacuated() == [0]
+
+
+# Guards against a gang whose tasks end with the one that is stopped and cannot all be
+# started again.
+def test_a_gang_leaves_only_if_there_is_room_for_all_of_it():
+    log = RoomLog()
+    log.submit(Step(3, 2000, lasts=True, gang=True))
+    keys = [task(index=index) for index in range(3)]
+    starts = tuple(
+        commands.Start(key, life)
+        for key, life in zip(keys, ("i-0", "i-2", "i-3"), strict=True)
+    )
+    log.send(commands.StartRuns((), (starts,), 0))
+    assert len(log.table.run_by_task) == 3
+    cordon(log, "h0")
+    assert not log.evacuated()
+    log.send(commands.RegisterMinion(make_minion(8, hall="h2"), 0))
+    assert log.evacuated() == [0]
+
+
+# Guards against a run that its minion stops, as it has the order, while the leader
+# takes it for one that goes on.
+@pytest.mark.parametrize("is_stop_sent", [True, False])
+def test_a_stop_is_withdrawn_only_before_it_was_sent(is_stop_sent):
+    log = RoomLog()
+    log.place("i-0")
+    cordon(log, "h0")
+    assert log.evacuated() == [0]
+    run = log.table.run_by_task[task()]
+    view = RunView(run, RunViewStatus.RUNNING, is_stop_sent=is_stop_sent)
+    log.drain.session.agent_by_minion["i-0"].view_by_task[task()] = view
+    assert not log.watch.exceeds_budget(run)
+    cordon(log, "h0", is_cordoned=False)
+    assert log.watch.exceeds_budget(run) is not is_stop_sent
