Operators see halls, and cordon and uncordon one

Nothing showed what runs in a hall, and only the users' platform could order a cordon. The list of halls (GET /v1/halls, hingepitch-admin halls) has the cordon, VMs, runs and room of each; POST and DELETE of /v1/halls/NAME/cordon go through the log with the revision that the command line has read, so that a delayed attempt cannot undo a later order. The explanation of a waiting job names the cordoned halls of its pool, and the leader has gauges by hall.

--- a/hingepitch/admin/program.py
+++ b/hingepitch/admin/program.py
@@ -10,6 +10,7 @@
 
 import sys
 import time
+from urllib.parse import quote
 
 import yaml
 
@@ -195,6 +196,49 @@
     return ExitCode.SUCCESS
 
 
+def halls(*, settings: str = DEFAULT_SETTINGS, json: bool = False):
+    """Show each hall: since when it is cordoned, its VMs, and what runs there.
+
+    :param settings: the settings file of this program
+    :param json: print JSON
+    """
+    rows = open_client(settings).call("GET", "/v1/halls")["halls"]
+    print_rows(rows, json)
+    return ExitCode.SUCCESS
+
+
+def cordon(hall: str, *, settings: str = DEFAULT_SETTINGS):
+    """Send no more work to a hall; what runs there goes on.
+
+    :param hall: name of the hall
+    :param settings: the settings file of this program
+    """
+    return change_cordon(open_client(settings), "POST", hall)
+
+
+def uncordon(hall: str, *, settings: str = DEFAULT_SETTINGS):
+    """Send work to a hall again.
+
+    :param hall: name of the hall
+    :param settings: the settings file of this program
+    """
+    return change_cordon(open_client(settings), "DELETE", hall)
+
+
+def change_cordon(client, method, hall):
+    """Change the cordon of a hall, based on the cordons that are read first.
+
+    The order is refused if another one comes in between, so that an attempt which is
+    delayed cannot undo a later order.
+    """
+    revision = client.call("GET", "/v1/halls")["revision"]
+    path = f"/v1/halls/{quote(hall, safe='')}/cordon?base_revision={revision}"
+    answer = client.call(method, path)
+    state = "cordoned" if answer["is_cordoned"] else "not cordoned"
+    print(f"hall {answer['hall']}: {state}")
+    return ExitCode.SUCCESS
+
+
 def audit(
     *,
     partner: str = "",
@@ -292,6 +336,9 @@
         status,
         explain,
         accounts,
+        halls,
+        cordon,
+        uncordon,
         audit,
         watch,
         members,
--- a/hingepitch/control/operator.py
+++ b/hingepitch/control/operator.py
@@ -14,6 +14,7 @@
 from pydantic import ValidationError
 
 from hingepitch.clock import lease_seconds
+from hingepitch.control.hallapi import HallResource
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import make_api
 from hingepitch.jobs.explain import QUEUED_JOB, account_rows, explain_queued_job
@@ -132,6 +133,9 @@
         api.add_route("/v1/objects/{kind}/{name}", self, suffix="object")
         api.add_route("/v1/explain/{kind}/{name}", self, suffix="explain")
         api.add_route("/v1/accounts", self, suffix="accounts")
+        halls = HallResource(self.confirm_state, self.group, self.authenticator)
+        api.add_route("/v1/halls", halls)
+        api.add_route("/v1/halls/{hall}/cordon", halls, suffix="cordon")
         api.add_route("/v1/audit", self, suffix="audit")
         api.add_route("/v1/watch", self, suffix="watch")
         api.add_route("/v1/in-force/{version:int}", self, suffix="in_force")
--- a/hingepitch/jobs/explain.py
+++ b/hingepitch/jobs/explain.py
@@ -54,11 +54,15 @@
     tasks = job.round_by_number[round_number].tasks_by_step[number]
     waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
     pool = table.current_queue(job).pool
-    minions = sum(one.pool == pool for one in table.minion_by_id.values())
+    minions = [one for one in table.minion_by_id.values() if one.pool == pool]
     text = (
         f"step {number}: {waiting} of {len(tasks)} tasks wait for pool {pool}, "
-        f"which has {minions} minions"
+        f"which has {len(minions)} minions"
     )
+    cordoned = [one.hall for one in minions if one.hall in table.cordons]
+    if cordoned:
+        halls = ", ".join(sorted(set(cordoned)))
+        text += f", {len(cordoned)} of them in cordoned halls ({halls})"
     if not table.ledger.admits(job.account, job.spec.steps[number]):
         text += f"; the account {job.account} is at its quota"
     return text
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -13,6 +13,7 @@
 from hingepitch.clock import wall_ms
 from hingepitch.jobs.contact import ReplyKind
 from hingepitch.jobs.crash import CrashRegistry
+from hingepitch.jobs.hallrows import HallRow
 from hingepitch.jobs.ledger import AccountLedger
 from hingepitch.jobs.record import TaskStatus
 from hingepitch.jobs.runview import RunViewStatus
@@ -27,6 +28,9 @@
 #: Limit of the client accounts that have metrics of their own.
 MAX_SHOWN_ACCOUNTS = 64
 
+#: Limit of the halls that have metrics of their own.
+MAX_SHOWN_HALLS = 64
+
 
 class DispatchGauge:
     """Records counters, gauges and latency histograms during one leadership.
@@ -37,12 +41,15 @@
         The `Session` of the leadership, whose job table is read.
     `shown_accounts`
         Names of the client accounts that have had a metric.
+    `shown_halls`
+        Names of the halls that have had a metric.
     """
 
     def __init__(self, metrics, session):
         self.metrics = metrics
         self.session = session
         self.shown_accounts = set()
+        self.shown_halls = set()
 
     def note_commit(self, command, seconds):
         """Record the time of a command from its proposal to its commit."""
@@ -177,6 +184,27 @@
                 account=name,
             )
 
+    def note_halls(self, rows):
+        """Set the VMs, the runs and the cordon of the first `MAX_SHOWN_HALLS` halls.
+
+        `rows`
+            The `HallRow` of each hall. Halls that are missing have no VMs.
+        """
+        row_by_hall = {row.name: row for row in rows}
+        for name in row_by_hall:
+            if len(self.shown_halls) >= MAX_SHOWN_HALLS:
+                break
+            self.shown_halls.add(name)
+        for name in self.shown_halls:
+            row = row_by_hall.get(name, HallRow(name))
+            is_cordoned = row.cordoned_since_ms is not None
+            for metric, doc, value in (
+                ("hall_vms", "VMs of a hall that have a minion.", row.vms),
+                ("hall_runs", "Runs in a hall.", row.runs),
+                ("hall_cordoned", "Whether a hall is cordoned.", int(is_cordoned)),
+            ):
+                self.metrics.set(metric, doc, value, hall=name)
+
     def note_suspects(self, crashes):
         """Set the number of suspected tasks and of unresponsive incarnations."""
         suspects = sum(1 for job in crashes.jobs() for _ in crashes.suspects(job))
@@ -207,6 +235,7 @@
         self.set_waiting(Counter())
         self.note_suspects(CrashRegistry())
         self.note_accounts(AccountLedger())
+        self.note_halls(())
 
     def observe_since(self, name, job, at_ms, **labels):
         """Record the time from a job's acceptance until `at_ms` since the epoch."""
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -31,6 +31,7 @@
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
 from hingepitch.jobs.halldrain import HallDrain
+from hingepitch.jobs.hallrows import measure_halls
 from hingepitch.jobs.isolation import SuspectWaitTracker
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveController
@@ -425,6 +426,7 @@
         self.gauge.note_waiting(self.table)
         self.gauge.note_suspects(self.table.crashes)
         self.gauge.note_accounts(self.table.ledger)
+        self.gauge.note_halls(measure_halls(self.table, wall_ms()))
         for pool, load in self.measure_pools().items():
             log_event(
                 "pool_load",
