--- a/tests/test_hall_drain.py
+++ b/tests/test_hall_drain.py
@@ -6,14 +6,17 @@
 
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
+from hingepitch.jobs.explain import explain_queued_job
 from hingepitch.jobs.halldrain import HallDrain
+from hingepitch.jobs.record import JobStatus
 from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.watch import UPKEEP_REASON, RunWatch
 from standin.taskminion import TaskMinion
 from tests.test_cordoned_pools import HallLog, cordon
 from tests.test_dispatch import SECONDS, DispatchHarness
-from tests.test_job_rules import make_minion, task
+from tests.test_job_rules import JOB, make_minion, task
+from tests.test_upkeep import Platform, begin_wave
 
 
 class HallHarness(DispatchHarness):
@@ -102,6 +105,64 @@
     assert harness.log.table.run_by_task[task()] is run
 
 
+# Guards against a start in a cordoned hall, and against a job that fails, or is not
+# explained, or goes on waiting, as all halls are cordoned for a while.
+def test_while_all_halls_are_cordoned_work_waits_and_nothing_fails(harness):
+    for hall in ("h0", "h1"):
+        harness.cordon(hall)
+    harness.submit(Step(3), Step(1, lasts=False, after=(0,)))
+    passes = []
+    planner = harness.dispatcher.session.planner
+    run_pass = planner.run_pass
+    planner.run_pass = lambda: (passes.append(0), run_pass())
+    assert wait_until(lambda: len(passes) > 10, SECONDS)
+    assert not any(one.starts for one in harness.minions)
+    assert harness.log.status is JobStatus.PENDING
+    (reason,) = explain_queued_job(harness.log.table, JOB)["obstacles"]
+    assert "4 of them in cordoned halls (h0, h1)" in reason
+    harness.cordon("h1", is_cordoned=False)
+    assert wait_until(lambda: harness.running("h1") == 3, SECONDS)
+    assert not harness.running("h0")
+
+
+class HallPlatform(Platform):
+    """The stub of the platform, which brings VMs back in their own halls."""
+
+    def bring_back(self, vm):
+        number = int(vm.removeprefix("vm-"))
+        minion = self.harness.minions[number]
+        minion.restart()
+        self.down.discard(vm)
+        self.harness.register(number, minion)
+        self.harness.replica.wake()
+        self.harness.dispatcher.session.agents.reconcile()
+        self.harness.dispatcher.note_heartbeat(minion.life, minion.clock_ms())
+
+
+# Guards against a wave and a cordon that together exceed the budget of a step or the
+# wave's `max_down`, or that block each other.
+def test_a_wave_that_meets_a_cordon_ends_within_all_budgets(harness):
+    tasks = start_lasting(harness, 4, max_away=1)
+    watch = harness.dispatcher.session.watch
+    evacuate = watch.evacuate
+    away = []
+
+    def note(run, reason):
+        away.append(sum(not watch.is_at_work(one) for one in tasks))
+        evacuate(run, reason)
+
+    watch.evacuate = note
+    cordoned, other = ("h0", "h1") if harness.running("h0") else ("h1", "h0")
+    harness.cordon(cordoned)
+    platform = HallPlatform(harness)
+    wave = begin_wave(harness, platform, max_down=1, seconds=60)
+    assert wait_until(lambda: wave.is_done, 40)
+    assert platform.most_down == 1
+    assert away and max(away) == 0
+    assert wait_until(lambda: harness.running(other) == 4, SECONDS)
+    assert not harness.running(cordoned)
+
+
 class RoomLog(HallLog):
     """Records long-running tasks on the minions of two halls, and drains `h0`.
 
--- a/tests/turns_simulation.py
+++ b/tests/turns_simulation.py
@@ -137,8 +137,8 @@
     def now_ms(self):
         return int(self.now * 1000)
 
-    def register(self, vm, pool):
-        minion = make_minion(next(self.numbers), vm=vm, pool=pool, **VM)
+    def register(self, vm, pool, **fields):
+        minion = make_minion(next(self.numbers), vm=vm, pool=pool, **VM, **fields)
         self.controller.kind_by_vm[vm] = minion.kind
         self.log.send(commands.RegisterMinion(minion, self.now_ms))
         self.log.send(commands.EndMove(vm))
@@ -222,10 +222,13 @@
         entry = self.now + seconds, next(self.numbers), event
         heapq.heappush(self.events, entry)
 
+    def usable_minions(self):
+        return set(self.table.minion_by_id)
+
     def start_tasks(self):
         context = PlanContext(
             self.now_ms,
-            set(self.table.minion_by_id),
+            self.usable_minions(),
             durations=self.durations,
         )
         starts, _ = plan_starts(self.table, context)
