--- a/tests/test_load_cordoned_hall.py
+++ b/tests/test_load_cordoned_hall.py
@@ -1,10 +1,13 @@
 """A hall of three is cordoned while the demand of a pool rises to five times its mean.
 
-The rates are those of `test_load_turns.py`: the crest needs about 100 VMs. They take
-1.6 s to move, and nearly all are still on their way when the hall is cordoned, 1.5 s
-after the crest began. The two other halls have 80 VMs (`SHORT`) or 120 (`AMPLE`).
+The rates are those of `test_load_turns.py`: the crest needs about 100 VMs, which take
+1.6 s to move. The hall is cordoned while nearly all are still on their way, and the two
+other halls have 80 VMs (`SHORT`); or once most are there, and the others have 120
+(`MEDIUM`) or 160 (`AMPLE`).
 """
 
+import math
+
 import pytest
 
 from hingepitch.jobs.command import RunEnd
@@ -19,20 +22,22 @@
 )
 
 SHORT = {"vms_per_pool": 24, "spare_vms": 24}
-AMPLE = {"vms_per_pool": 36, "spare_vms": 36}
+MEDIUM = {"vms_per_pool": 36, "spare_vms": 36}
+AMPLE = {"vms_per_pool": 48, "spare_vms": 48}
 SEED = 1
 
 HALLS = 3
 HALL = "h0"
-CORDONED_AT = 6.5
-UNCORDONED_AT = 9.5
+#: When the hall is cordoned, for how long, and when the crest begins, in seconds.
+EARLY, LATE = 6.5, 8.0
+CORDON_SECONDS = 2.5
 
 
 class HallSimulation(TurnsSimulation):
     """Pools over three halls, one of which is cordoned for a time.
 
-    `orders`
-        Pairs of a time in seconds and whether the hall is cordoned from then on.
+    `cordoned_at`, `uncordoned_at`
+        When the hall is cordoned and uncordoned, in seconds.
     `starts`
         The times of the starts in `HALL`, in seconds.
     `moves`
@@ -42,8 +47,9 @@
         included, and the spare VMs of the other halls then.
     """
 
-    def __init__(self, orders, **sizes):
-        self.orders = list(orders)
+    def __init__(self, cordoned_at, uncordoned_at, **sizes):
+        self.cordoned_at = cordoned_at
+        self.uncordoned_at = uncordoned_at
         self.starts = []
         self.moves = []
         super().__init__(SEED, **sizes)
@@ -56,13 +62,14 @@
 
     def pass_events(self):
         super().pass_events()
-        while self.orders and self.orders[0][0] <= self.now:
-            is_cordoned = self.orders.pop(0)[1]
-            assert cordon(self.log, HALL, is_cordoned) == ""
-            if is_cordoned:
-                self.lost = self.arrivals(0, self.now).count(HALL)
-                spare = map(hall_of, self.controller.spare_pool_by_vm)
-                self.spare_elsewhere = sum(hall != HALL for hall in spare)
+        is_cordoned = self.cordoned_at <= self.now < self.uncordoned_at
+        if is_cordoned is (HALL in self.table.cordons):
+            return
+        assert cordon(self.log, HALL, is_cordoned) == ""
+        if is_cordoned:
+            self.lost = self.arrivals(0, self.now).count(HALL)
+            spare = map(hall_of, self.controller.spare_pool_by_vm)
+            self.spare_elsewhere = sum(hall != HALL for hall in spare)
 
     def usable_minions(self):
         minions = self.table.minion_by_id.values()
@@ -91,27 +98,30 @@
     return f"h{int(vm.removeprefix('vm-')) % HALLS}"
 
 
-def simulate(orders, sizes):
-    simulation = HallSimulation(orders, **sizes)
+def simulate(sizes, cordoned_at=math.inf, uncordoned_at=math.inf):
+    simulation = HallSimulation(cordoned_at, uncordoned_at, **sizes)
     simulation.run(PEAK_PER_SECOND)
     assert len(simulation.jobs) > 400
     return simulation
 
 
-@pytest.fixture(scope="module", params=[SHORT, AMPLE], ids=["short", "ample"])
+@pytest.fixture(
+    scope="module", params=[(SHORT, EARLY), (MEDIUM, LATE)], ids=["early", "late"]
+)
 def simulation(request):
-    orders = ((CORDONED_AT, True), (UNCORDONED_AT, False))
-    return simulate(orders, request.param)
+    sizes, cordoned_at = request.param
+    return simulate(sizes, cordoned_at, cordoned_at + CORDON_SECONDS)
 
 
 # Guards against a pool that waits for the VMs of the cordoned hall, or takes more of
 # them, while its demand rises.
 def test_the_pool_gets_vms_of_the_other_halls_at_once(simulation):
-    soon = CORDONED_AT + DECISION_SECONDS + 2 * PASS_SECONDS
+    begin, end = simulation.cordoned_at, simulation.uncordoned_at
     replaced = min(simulation.lost, simulation.spare_elsewhere)
     assert replaced > 15
-    assert len(simulation.arrivals(CORDONED_AT, soon)) >= replaced
-    assert HALL not in simulation.arrivals(CORDONED_AT, UNCORDONED_AT)
+    soon = begin + DECISION_SECONDS + 2 * PASS_SECONDS
+    assert len(simulation.arrivals(begin, soon)) >= replaced
+    assert HALL not in simulation.arrivals(begin, end)
 
 
 # Guards against work that is lost, refused or never done since a hall was out.
@@ -124,15 +134,14 @@
 # Guards against starts in the hall while it is cordoned, and against a hall that is
 # still left out a second after it was uncordoned.
 def test_the_hall_bears_work_only_while_it_is_not_cordoned(simulation):
-    out = [at for at in simulation.starts if CORDONED_AT < at < UNCORDONED_AT]
-    assert not out
-    first = min(at for at in simulation.starts if at >= UNCORDONED_AT)
-    assert first < UNCORDONED_AT + 1
+    begin, end = simulation.cordoned_at, simulation.uncordoned_at
+    assert not [at for at in simulation.starts if begin <= at < end]
+    assert min(at for at in simulation.starts if at >= end) < end + 1
 
 
 # Guards against VMs of a cordoned hall that stay in their pools for good.
 def test_idle_vms_of_a_hall_that_stays_cordoned_go_to_the_spare_pool():
-    simulation = simulate([(CORDONED_AT, True)], AMPLE)
+    simulation = simulate(AMPLE, LATE)
     lives = simulation.table.minion_by_id.values()
     assert HALL not in {minion.hall for minion in lives}
     spare = simulation.controller.spare_pool_by_vm
@@ -143,6 +152,6 @@
 def test_without_a_cordon_the_halls_change_nothing():
     plain = TurnsSimulation(SEED, **SHORT)
     plain.run(PEAK_PER_SECOND)
-    simulation = simulate((), SHORT)
+    simulation = simulate(SHORT)
     assert len(simulation.late_jobs()) == len(plain.late_jobs())
     assert simulation.largest_pool == plain.largest_pool
