--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -184,12 +184,16 @@
                 account=name,
             )
 
-    def note_halls(self, rows):
+    def note_halls(self, rows, agents=(), now=0.0):
         """Set the VMs, the runs and the cordon of the first `MAX_SHOWN_HALLS` halls.
 
         `rows`
             The `HallRow` of each hall. Halls that are missing have no VMs.
+        `agents`, `now`
+            The agents, whose minions may be cold, and the time as `lease_seconds`
+            returns it.
         """
+        cold = Counter(one.minion.hall for one in agents if one.warmth.is_cold(now))
         row_by_hall = {row.name: row for row in rows}
         for name in row_by_hall:
             if len(self.shown_halls) >= MAX_SHOWN_HALLS:
@@ -200,6 +204,7 @@
             is_cordoned = row.cordoned_since_ms is not None
             for metric, doc, value in (
                 ("hall_vms", "VMs of a hall that have a minion.", row.vms),
+                ("hall_cold_vms", "VMs of a hall with a cold minion.", cold[name]),
                 ("hall_runs", "Runs in a hall.", row.runs),
                 ("hall_cordoned", "Whether a hall is cordoned.", int(is_cordoned)),
             ):
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -422,11 +422,12 @@
 
     def log_load(self):
         """Log the load of each pool once and update the metrics."""
-        self.gauge.note_minions(self.agent_by_minion.values(), lease_seconds())
+        agents, now = list(self.agent_by_minion.values()), lease_seconds()
+        self.gauge.note_minions(agents, now)
         self.gauge.note_waiting(self.table)
         self.gauge.note_suspects(self.table.crashes)
         self.gauge.note_accounts(self.table.ledger)
-        self.gauge.note_halls(measure_halls(self.table, wall_ms()))
+        self.gauge.note_halls(measure_halls(self.table, wall_ms()), agents, now)
         for pool, load in self.measure_pools().items():
             log_event(
                 "pool_load",
--- a/tests/test_hall_operators.py
+++ b/tests/test_hall_operators.py
@@ -14,6 +14,7 @@
 from hingepitch.jobs.gauge import MAX_SHOWN_HALLS, DispatchGauge
 from hingepitch.jobs.hallrows import HallRow, hall_rows, measure_halls
 from hingepitch.jobs.spec import Step
+from hingepitch.jobs.warmth import Warmth
 from hingepitch.metric import Metrics
 from hingepitch.model.codec import decode_envelope, encode_envelope
 from tests.test_cordoned_pools import HallLog, cordon
@@ -181,12 +182,17 @@
     cordon(log, "h0")
     metrics = Metrics("test")
     gauge = DispatchGauge(metrics, None)
-    gauge.note_halls(measure_halls(log.table, 0))
+    agents = [
+        SimpleNamespace(minion=minion, warmth=Warmth(5.0 if number else 0.0, 5.0))
+        for number, minion in enumerate(log.table.minion_by_id.values())
+    ]
+    gauge.note_halls(measure_halls(log.table, 0), agents, 1.0)
 
     def text():
         return metrics.render()[0].decode()
 
-    for name, value in (("vms", 2), ("runs", 1), ("cordoned", 1)):
+    figures = {"vms": 2, "cold_vms": 1, "runs": 1, "cordoned": 1}
+    for name, value in figures.items():
         assert f'hingepitch_hall_{name}{{hall="h0",program="test"}} {value}' in text()
     gauge.note_halls([HallRow(f"x{number}") for number in range(500)])
     assert text().count("hingepitch_hall_vms{") == MAX_SHOWN_HALLS
