--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -30,6 +30,8 @@
 from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
+from hingepitch.jobs.halldrain import HallDrain
+from hingepitch.jobs.hallrows import measure_halls
 from hingepitch.jobs.isolation import SuspectWaitTracker
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveController
@@ -84,6 +86,8 @@
         The long-running tasks that ended right after their start.
     `planner`
         The `StartPlanner` of this leadership.
+    `hall_drain`
+        The `HallDrain` of this leadership.
     `suspect_waits`
         The `SuspectWaitTracker` of the tasks that must start in isolation.
     `inherited`
@@ -98,6 +102,7 @@
         self.durations = Durations()
         self.permissions = PermissionController(self, adviser)
         self.watch = RunWatch(self)
+        self.hall_drain = HallDrain(self)
         self.upkeep = UpkeepController(self, platform, terms.upkeep_seconds)
         self.mover = MoveController(self, platform, terms.pools, terms.move_seconds)
         self.fence = replica.core.term
@@ -419,10 +424,12 @@
 
     def log_load(self):
         """Log the load of each pool once and update the metrics."""
-        self.gauge.note_minions(self.agent_by_minion.values(), lease_seconds())
+        agents, now = list(self.agent_by_minion.values()), lease_seconds()
+        self.gauge.note_minions(agents, now)
         self.gauge.note_waiting(self.table)
         self.gauge.note_suspects(self.table.crashes)
         self.gauge.note_accounts(self.table.ledger)
+        self.gauge.note_halls(measure_halls(self.table, wall_ms()), agents, now)
         for pool, load in self.measure_pools().items():
             log_event(
                 "pool_load",
