Cold minions come last for work that can still be in time

A third of a pool that has just started is several times as slow, and got work like the rest: jobs that a warm minion would have ended in time were late.

With bounds.cold_overage, a planning pass knows the warmth of each cold minion and ranks cold ones after all warm ones, the warmest first, for steps whose job can still be in time. Long-running and late steps take them like others.

Whether a step is late is computed once per step and pass.

--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field, replace
 from functools import cached_property
 
+from hingepitch.jobs.cold import ColdLast, avoids_cold
 from hingepitch.jobs.command import Start
 from hingepitch.jobs.due import due_ms, is_late
 from hingepitch.jobs.duration import Durations
@@ -50,6 +51,10 @@
         Tasks that must not be started yet.
     `excess_jobs`
         Jobs that their accounts sent beyond the rate that they may expect.
+    `warmth_by_minion`
+        The warmth of each cold minion: the part of its warm-up that is over.
+    `cold_rule`
+        The class of the rule by which cold minions are used.
     """
 
     now_ms: int
@@ -62,6 +67,8 @@
     suspects: SuspectView = field(default_factory=SuspectView)
     paused: set[TaskKey] = field(default_factory=set)
     excess_jobs: set[str] = field(default_factory=set)
+    warmth_by_minion: dict[str, float] = field(default_factory=dict)
+    cold_rule: type = ColdLast
 
 
 @dataclass
@@ -75,6 +82,21 @@
     placed_by_step: dict[tuple, dict[str, int]] = field(default_factory=dict)
     too_large_by_pool: dict[str, list] = field(default_factory=dict)
     usage_by_account: dict[str, AccountUsage] = field(default_factory=dict)
+    avoids_cold_by_step: dict[tuple, bool] = field(default_factory=dict)
+
+    @cached_property
+    def cold_rule(self):
+        """The rule for cold minions in this pass."""
+        return self.plan_context.cold_rule(self)
+
+    def cold_rule_for(self, step_key):
+        """Return the rule for cold minions, or None if they are taken like others."""
+        if not self.plan_context.warmth_by_minion:
+            return None
+        avoids = self.avoids_cold_by_step.get(step_key)
+        if avoids is None:
+            avoids = self.avoids_cold_by_step[step_key] = avoids_cold(self, step_key)
+        return self.cold_rule if avoids else None
 
     @cached_property
     def isolation(self):
--- a/hingepitch/jobs/score.py
+++ b/hingepitch/jobs/score.py
@@ -14,6 +14,7 @@
 def best_minion(work, key, step, candidates, is_suspect=False, avoided=()):
     """Return the best minion for one more task of a step, or None if none fits."""
     task_counts = work.task_counts(key)
+    cold_rule = work.cold_rule_for(key)
     best = None
     best_score = None
     for minion in candidates:
@@ -22,18 +23,23 @@
         used = work.room(minion)
         if not used.fits(minion, step):
             continue
-        score = score_minion(work, step, minion, used, is_suspect, avoided)
+        cold_rank = cold_rule.rank(minion) if cold_rule is not None else 0.0
+        if cold_rank is None:
+            continue
+        score = score_minion(work, step, minion, used, is_suspect, avoided, cold_rank)
         if best is None or score < best_score:
             best, best_score = minion, score
     return best
 
 
-def score_minion(work, step, minion, used, is_suspect, avoided):
+def score_minion(work, step, minion, used, is_suspect, avoided, cold_rank):
     """Return the score of a minion for one more task of `step`; the lowest is best.
 
     Preferences, in this order:
 
     - A VM outside `avoided`, on which the task has not crashed a minion yet.
+    - A warm minion, unless the step takes cold ones like others: they are slower than
+      a minion in another rack than the data.
     - A minion in the rack that holds the data.
     - For a long-running task, a VM without pending maintenance, which would
       evict it again; the tasks of a step are evicted one at a time.
@@ -45,6 +51,7 @@
     utilization = used.cpu_millicores / max(1, minion.cpu_millicores)
     return (
         minion.vm in avoided,
+        cold_rank,
         bool(step.data_rack) and minion.rack != step.data_rack,
         step.lasts and minion.vm in work.vms_due,
         work.plan_context.penalty_by_minion.get(minion.id, 0.0),
--- a/hingepitch/jobs/startplanner.py
+++ b/hingepitch/jobs/startplanner.py
@@ -82,6 +82,11 @@
             suspect_view(session) if self.table.crashes else SuspectView(),
             session.restarts.paused(now),
             self.shares.excess_jobs(self.table) if self.table.has_accounts else set(),
+            warmth_by_minion={
+                life: agents[life].warmth.fraction(now)
+                for life in usable
+                if agents[life].warmth.is_cold(now)
+            },
         )
 
     def permitted_by_step(self):
--- a/hingepitch/jobs/terms.py
+++ b/hingepitch/jobs/terms.py
@@ -19,6 +19,10 @@
 class ColdTerms:
     """Limits for runs on a minion that is still slow after its start.
 
+    Their presence makes placement take cold minions last (`hingepitch.jobs.cold`),
+    which keeps more jobs in time than these limits do. The rule does not read the
+    values.
+
     `overage`
         Factor on the mean number of runs of the warm minions of the pool.
     `slack`
