Runs on cold minions say nothing about run times, stalls and health

A run that begins on a cold minion takes several times as long. It was learned as its queue's run time, its slow first percent counted as a stall, and its time-outs made the planner avoid the minion.

Such a run is not noted in Durations, the stall timeout counts from the end of the warm-up, and failures count as trouble only once the minion is warm. Blame for crashes is unchanged. A run that began cold under an earlier leader is recognised only if the minion was still cold at its first heartbeat to the new one.

--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -251,6 +251,7 @@
     def note_duration(self, end, at_ms):
         """Record the duration of a task that ran from start to end in one run.
 
+        A run that began on a cold minion says nothing about the others of its queue.
         The task of a gang member is missing if the end of another member closed
         the round.
         """
@@ -259,10 +260,18 @@
         task = self.table.task(end.task)
         if end.result is not RunResult.DONE or step is None or task is None:
             return
-        if run.number == end.number and not task.checkpoint:
+        if run.number != end.number or task.checkpoint:
+            return
+        if not self.began_cold(run, at_ms):
             queue = self.table.current_queue(self.table.job_by_id[end.task.job])
             self.durations.note(queue.route, step, at_ms - run.started_ms)
 
+    def began_cold(self, run, at_ms):
+        """Whether the minion of a run was still cold when the run was recorded."""
+        agent = self.agent_by_minion.get(run.minion)
+        ran_seconds = (at_ms - run.started_ms) / 1000
+        return agent is not None and agent.warmth.is_cold(lease_seconds() - ran_seconds)
+
     def end_incarnation(self, minion_id, reason):
         """Record that an incarnation of a minion has ended; return whether it has."""
         minion = self.table.minion_by_id.get(minion_id)
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -185,7 +185,11 @@
         self.pace_fillers(agent)
 
     def stop_stalled(self, agent):
-        """Evacuate the stalled tasks of a minion and note its trouble."""
+        """Evacuate the stalled tasks of a minion and note its trouble.
+
+        On a cold minion even the first percent takes longer than the stall timeout,
+        which therefore counts from the end of the warm-up.
+        """
         for view in list(agent.view_by_task.values()):
             step = self.session.step_of(view.run)
             if view.row is None or step is None or step.lasts:
@@ -193,9 +197,9 @@
             if step.fills_spare_cpu:
                 continue
             stall_factor = self.stall_factor(view.run.task)
-            if not is_stalled(
-                view.row_since, agent.status_poller.polled_at, step.gang, stall_factor
-            ):
+            row_since = max(view.row_since, agent.warmth.warm_at)
+            polled_at = agent.status_poller.polled_at
+            if not is_stalled(row_since, polled_at, step.gang, stall_factor):
                 continue
             if self.session.is_wanted(view.run):
                 self.note_stall(view.run.task)
@@ -229,12 +233,15 @@
                 agent.order_pace(view, percent)
 
     def note_ends(self, agent, ends):
-        """Update the health of a minion from the ends that it listed."""
+        """Update the health of a minion from the ends that it listed.
+
+        A failure on a cold minion may be a time-out that its slowness caused.
+        """
         now = lease_seconds()
         for end in ends:
             if end.result is RunResult.DONE:
                 agent.health.note_success(now)
-            elif end.result is RunResult.FAILED:
+            elif end.result is RunResult.FAILED and not agent.warmth.is_cold(now):
                 agent.health.note_trouble(end.task.job, now)
 
     def evacuate_draining(self):
