Long-running steps are spread over halls

No decision took the hall into account: a step filled one minion and then the next, and the loss of one hall took all of it.

The tasks by hall are counted once per step and pass and then kept up to date by the reservations.

--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -21,6 +21,7 @@
 from hingepitch.jobs.record import TaskStatus
 from hingepitch.jobs.score import best_minion
 from hingepitch.jobs.spec import TaskKey
+from hingepitch.jobs.spread import count_by_hall
 from hingepitch.jobs.usage import ResourceUsage
 
 __all__ = ["PlanContext", "plan_starts"]
@@ -55,6 +56,8 @@
         The warmth of each cold minion: the part of its warm-up that is over.
     `cold_rule`
         The class of the rule by which cold minions are used.
+    `spreads_over_halls`
+        Whether the tasks of a long-running step are spread over halls.
     """
 
     now_ms: int
@@ -69,6 +72,7 @@
     excess_jobs: set[str] = field(default_factory=set)
     warmth_by_minion: dict[str, float] = field(default_factory=dict)
     cold_rule: type = ColdLast
+    spreads_over_halls: bool = False
 
 
 @dataclass
@@ -83,6 +87,7 @@
     too_large_by_pool: dict[str, list] = field(default_factory=dict)
     usage_by_account: dict[str, AccountUsage] = field(default_factory=dict)
     avoids_cold_by_step: dict[tuple, bool] = field(default_factory=dict)
+    placed_by_hall: dict[tuple, dict[str, int]] = field(default_factory=dict)
 
     @cached_property
     def cold_rule(self):
@@ -148,6 +153,18 @@
             self.placed_by_step[step_key] = counts
         return counts
 
+    def hall_counts(self, step_key, step):
+        """Return the number of tasks of a step by hall, planned starts included.
+
+        Empty unless the tasks of the step are spread over halls.
+        """
+        if not (step.lasts and self.plan_context.spreads_over_halls):
+            return {}
+        counts = self.placed_by_hall.get(step_key)
+        if counts is None:
+            counts = self.placed_by_hall[step_key] = count_by_hall(self, step_key)
+        return counts
+
     def reserve(self, step_key, step, minion):
         """Reserve resources on `minion` for one more task of `step`."""
         used = self.room(minion)
@@ -156,8 +173,15 @@
         used.accelerators += step.accelerators
         counts = self.task_counts(step_key)
         counts[minion.id] = counts.get(minion.id, 0) + 1
+        self.note_in_hall(step_key, minion, 1)
         self.account_usage(self.account_of(step_key)).add(step)
 
+    def note_in_hall(self, step_key, minion, change):
+        """Note that the hall of `minion` has so many tasks more of a step."""
+        counts = self.placed_by_hall.get(step_key)
+        if counts is not None:
+            counts[minion.hall] = counts.get(minion.hall, 0) + change
+
     def account_of(self, step_key):
         """Return the name of the account of a step's job; empty if it has none."""
         return self.table.job_by_id[step_key[0]].account
@@ -170,6 +194,7 @@
         used.memory_mb -= step.memory_mb
         used.accelerators -= step.accelerators
         self.task_counts(step_key)[minion.id] -= 1
+        self.note_in_hall(step_key, minion, -1)
         self.account_usage(self.account_of(step_key)).add(step, -1)
 
     def is_too_large(self, pool, step):
--- a/hingepitch/jobs/score.py
+++ b/hingepitch/jobs/score.py
@@ -15,6 +15,7 @@
     """Return the best minion for one more task of a step, or None if none fits."""
     task_counts = work.task_counts(key)
     cold_rule = work.cold_rule_for(key)
+    hall_counts = work.hall_counts(key, step)
     best = None
     best_score = None
     for minion in candidates:
@@ -26,13 +27,16 @@
         cold_rank = cold_rule.rank(minion) if cold_rule is not None else 0.0
         if cold_rank is None:
             continue
-        score = score_minion(work, step, minion, used, is_suspect, avoided, cold_rank)
+        hall_count = hall_counts.get(minion.hall, 0)
+        score = score_minion(
+            work, step, minion, used, is_suspect, avoided, cold_rank, hall_count
+        )
         if best is None or score < best_score:
             best, best_score = minion, score
     return best
 
 
-def score_minion(work, step, minion, used, is_suspect, avoided, cold_rank):
+def score_minion(work, step, minion, used, is_suspect, avoided, cold_rank, hall_count):
     """Return the score of a minion for one more task of `step`; the lowest is best.
 
     Preferences, in this order:
@@ -44,6 +48,8 @@
     - For a long-running task, a VM without pending maintenance, which would
       evict it again; the tasks of a step are evicted one at a time.
     - The lowest penalty.
+    - For a long-running task, the hall with the fewest tasks of its step, if the
+      settings ask for that: the loss of one hall then takes few of them.
     - The least free CPU, so that idle minions stay idle and can be lent. A
       suspect gets the most free CPU instead, where a crash affects the fewest
       other runs.
@@ -55,5 +61,6 @@
         bool(step.data_rack) and minion.rack != step.data_rack,
         step.lasts and minion.vm in work.vms_due,
         work.plan_context.penalty_by_minion.get(minion.id, 0.0),
+        hall_count,
         utilization if is_suspect else -utilization,
     )
--- a/hingepitch/jobs/startplanner.py
+++ b/hingepitch/jobs/startplanner.py
@@ -87,6 +87,7 @@
                 for life in usable
                 if agents[life].warmth.is_cold(now)
             },
+            spreads_over_halls=session.terms.spreads_over_halls,
         )
 
     def permitted_by_step(self):
--- a/tests/test_cold_heartbeats.py
+++ b/tests/test_cold_heartbeats.py
@@ -46,11 +46,11 @@
 class Scene:
     """A leader and one minion, whose heartbeats are delivered by hand."""
 
-    def __init__(self, cold=COLD):
+    def __init__(self, cold=COLD, **terms):
         self.minion = MemoryMinion(task_seconds=600)
         self.harness = DispatchHarness(
             self.minion,
-            terms=replace(TERMS, cold=cold),
+            terms=replace(TERMS, cold=cold, **terms),
             connect=lambda record: self.minion,
         )
         harness = self.harness
@@ -185,3 +185,17 @@
     scene = make_scene(cold=None)
     scene.deliver(1, 5000)
     assert scene.agent.warmth == WARM
+
+
+# Guards against settings and heartbeats that never reach the planner.
+def test_the_planner_knows_the_cold_minions_and_whether_steps_are_spread(make_scene):
+    scene = make_scene(spreads_over_halls=True)
+    planner = scene.harness.dispatcher.session.planner
+    scene.deliver(1, 60_000)
+    context = planner.plan_context()
+    assert 0 <= context.warmth_by_minion[scene.minion.life] < 0.5
+    assert context.spreads_over_halls
+    scene.deliver(2, 0)
+    assert not planner.plan_context().warmth_by_minion
+    session = make_scene().harness.dispatcher.session
+    assert not session.planner.plan_context().spreads_over_halls
