Let only one call at a time wait for a leader that does not answer

Cause: until the next leader is elected, the other replicas name the one that does not answer, and each call of an entry was sent there again, with another time-out of 0.5 s. Calls on connections kept to it were written and got no answer, so their outcome was unknown.

Change: while one call waits for an address that did not answer the last call, the others ask other replicas. The idle connections to it are closed, so that a call that cannot connect was certainly not sent. While all replicas answer, the calls and their number are the same as before.

Weighed: a second request beside a late first one. A time-out is 0.5 s and an election takes 0.6 to 1.4 s, so a follower asked during the first time-out can only refuse; what costs time are the time-outs after it.

--- a/hingepitch/group.py
+++ b/hingepitch/group.py
@@ -32,6 +32,9 @@
     )
 )
 
+#: Error codes of a replica that does not answer.
+SILENT_CODES = frozenset(("peer_unreachable", "peer_failed"))
+
 
 class GroupClient:
     """Calls methods of the leader of the control group.
@@ -49,6 +52,10 @@
         The last address that a replica gave for the leader, and the number
         of calls that missed the leader since the first such hint. Both are
         reset when a leader is found or a hint is followed.
+    `silent`, `probed`
+        Addresses that did not answer the last call, and those of them at which a
+        call waits. Other calls ask other replicas meanwhile: until the next leader
+        is elected, these still name the one that does not answer.
     `leader_lost_at`
         When the leader stopped answering, or None while one answers.
     """
@@ -64,6 +71,8 @@
         self.preferred = self.addresses[0]
         self.misses = 0
         self.hint = ""
+        self.silent = set()
+        self.probed = set()
         self.leader_lost_at = None
 
     def set_addresses(self, addresses):
@@ -96,17 +105,54 @@
         return clients[self.round_robin_count % len(clients)]
 
     def call_once(self, method, *arguments):
-        """Call the preferred replica once; on a transient error prefer another."""
-        address = self.preferred
+        """Call one replica once; on a transient error prefer another.
+
+        The replica is the preferred one, unless that is silent and being probed.
+        """
+        address = self.pick_address()
+        is_probe = address in self.silent
+        if is_probe:
+            self.probed.add(address)
         try:
             answer = self.client(address).call(method, *arguments)
-            self.record_leader_found(address)
-            return answer
         except HingepitchError as error:
-            if error.code in TRANSIENT_CODES:
-                self.log_leader_lost(address, error)
-                self.prefer_next_replica(address, getattr(error, "leader", ""))
+            self.record_error(address, error)
             raise
+        finally:
+            if is_probe:
+                self.probed.discard(address)
+        self.silent.discard(address)
+        self.record_leader_found(address)
+        return answer
+
+    def pick_address(self):
+        """Return the preferred address, or another one while that is probed."""
+        if self.preferred not in self.probed:
+            return self.preferred
+        answering = [one for one in self.addresses if one not in self.silent]
+        others = answering or [one for one in self.addresses if one not in self.probed]
+        if not others:
+            return self.preferred
+        self.round_robin_count += 1
+        return others[self.round_robin_count % len(others)]
+
+    def record_error(self, address, error):
+        """Record that a call at `address` failed; on a transient error, prefer another.
+
+        The idle connections to a silent replica are closed. A call on one of them
+        would be written and get no answer, so that its outcome is unknown; a call
+        that cannot connect was certainly not sent.
+        """
+        if error.code in SILENT_CODES:
+            self.silent.add(address)
+            for client in self.clients_by_address.get(address, ()):
+                if not client.lock.locked():
+                    client.close()
+        else:
+            self.silent.discard(address)
+        if error.code in TRANSIENT_CODES:
+            self.log_leader_lost(address, error)
+            self.prefer_next_replica(address, getattr(error, "leader", ""))
 
     def skip_replica(self):
         """Prefer another replica, as the preferred one is of no use to the caller."""
@@ -115,6 +161,8 @@
     def record_leader_found(self, address):
         """End the search for the leader; log this if the leader had been lost."""
         self.reset_leader_search()
+        if self.preferred in self.silent:
+            self.preferred = address
         if self.leader_lost_at is None:
             return
         seconds = round(lease_seconds() - self.leader_lost_at, 3)
@@ -136,9 +184,12 @@
         the hint then made callers fail for 2.3 s, until that replica had
         rejoined.
         """
+        known = self.addresses
         if self.preferred != address:
+            is_better = leader in known and leader not in self.silent
+            if is_better and self.preferred in self.silent:
+                self.preferred = leader
             return
-        known = self.addresses
         self.hint = leader or self.hint
         self.misses += bool(self.hint)
         if leader in known:
