Limit a stop also if a failure began it

Cause: a signal that arrived while the process was stopping after a failure set no limit for its end.

Change: the first signal always sets it, with the exit code of the moment.

--- a/hingepitch/app.py
+++ b/hingepitch/app.py
@@ -99,8 +99,9 @@
 
     def stop_on_signal(self):
         """Stop the process; the first signal starts the limit of the time for it."""
-        if self.exit_limit_seconds is not None and not self.stopping.is_set():
-            end_process_after(self.exit_limit_seconds, ExitCode.SUCCESS)
+        limit, self.exit_limit_seconds = self.exit_limit_seconds, None
+        if limit is not None:
+            end_process_after(limit, self.exit_code)
         self.stopping.set()
 
     def run(self):
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -20,6 +20,7 @@
 from adapter.settings import Bounds, PlatformSettings
 from hingepitch import app
 from hingepitch.clock import lease_seconds
+from hingepitch.error import ExitCode
 from hingepitch.exitlimit import end_process_after
 from hingepitch.logsink import CLOSE_SECONDS
 
@@ -82,6 +83,16 @@
     assert limits == [(GRACE_SECONDS * EXIT_FRACTION, 0)]
 
 
+# Guards against: no limit for a process that was stopping after a failure already, and
+# the exit code of a success for it.
+def test_a_signal_limits_a_stop_that_a_failure_began(entry, monkeypatch):
+    limits = []
+    monkeypatch.setattr(app, "end_process_after", lambda *args: limits.append(args))
+    entry.stop_process(broken=True)
+    entry.stop_on_signal()
+    assert limits == [(GRACE_SECONDS * EXIT_FRACTION, ExitCode.BROKEN_INVARIANT)]
+
+
 # Guards against: a process that is ended by its own limit although no part hangs.
 def test_the_longest_stop_of_an_entry_is_shorter_than_its_limit():
     grace = Bounds().grace_s
