Answer calls in flight before a stopping entry ends

Cause: a call that finds no leader may be retried for as long as its caller waits, which can be longer than the entry still lives; its connection then closed without an answer, and the balancer answers with 502.

Without an answer the call gets 503 or 504, as for any caller whose wait is over.

--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -8,6 +8,8 @@
 :license: BSD, see LICENSE for details.
 """
 
+import math
+
 import gevent
 import msgspec
 
@@ -71,6 +73,10 @@
         The replica of this process and its `JobService`, if any. If this replica
         leads, requests are answered locally.
 
+    `retry_until`
+        Time on the clock `lease_seconds` after which nothing is retried: a process
+        that is stopping must answer its callers before it ends.
+
     All requests are safe to retry: jobs and configurations carry the id or version
     by which the log recognizes duplicates.
     """
@@ -79,6 +85,7 @@
         self.group = group
         self.replica = replica
         self.service = service
+        self.retry_until = math.inf
 
     def ask(self, question, seconds, leaderless_seconds):
         """Return the response to `question`.
@@ -107,7 +114,8 @@
                 is_transient = (
                     error.code in TRANSIENT_CODES or error.code in UNKNOWN_OUTCOME_CODES
                 )
-                if not is_transient or lease_seconds() - began > limit:
+                until = min(began + limit, self.retry_until)
+                if not is_transient or lease_seconds() > until:
                     may_be_applied = is_outcome_unknown and not is_read
                     raise self.final_error(error, may_be_applied) from None
             gevent.sleep(PAUSE_SECONDS)
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -20,8 +20,9 @@
 from adapter.settings import Bounds, PlatformSettings
 from hingepitch import app
 from hingepitch.clock import lease_seconds
-from hingepitch.error import ExitCode
+from hingepitch.error import ExitCode, HingepitchError
 from hingepitch.exitlimit import end_process_after
+from hingepitch.jobs.client import JobClient
 from hingepitch.logsink import CLOSE_SECONDS
 
 GRACE_SECONDS = 1.0
@@ -42,10 +43,18 @@
         gevent.sleep(60)
 
 
+class NoLeader:
+    """Group client whose replicas may have read each call, and never answer."""
+
+    def call_once(self, method, data):
+        raise HingepitchError("peer_failed")
+
+
 class HangingEntry(PlatformEntry):
     """Entry with a call in flight that never ends."""
 
     def setup(self):
+        self.client = JobClient(NoLeader())
         self.front = SimpleNamespace(in_flight=1, is_leaving=False)
         self.http, self.ready_http, self.metrics_http = (
             HangingServer() for _ in range(3)
@@ -83,6 +92,17 @@
     assert limits == [(GRACE_SECONDS * EXIT_FRACTION, 0)]
 
 
+# Guards against: a connection that closes without an answer, because a call would be
+# retried for longer than the process lives.
+def test_calls_are_answered_before_the_process_ends(entry):
+    entry.setup()
+    entry.front.in_flight = 0
+    call = gevent.spawn(entry.client.ask, None, 60, 60)
+    gevent.spawn(entry.drain)
+    call.join(timeout=GRACE_SECONDS)
+    assert call.exception.code == "deadline_passed"
+
+
 # Guards against: no limit for a process that was stopping after a failure already, and
 # the exit code of a success for it.
 def test_a_signal_limits_a_stop_that_a_failure_began(entry, monkeypatch):
