--- a/standin/faults.py
+++ b/standin/faults.py
@@ -23,6 +23,7 @@
 from standin.account_faults import ACCOUNT_FAULTS
 from standin.crash_faults import CRASH_FAULTS
 from standin.fault import Fault
+from standin.hall_faults import HALL_FAULTS
 from standin.incarnation_faults import INCARNATION_FAULTS
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -62,6 +63,7 @@
     *CRASH_FAULTS,
     *INCARNATION_FAULTS,
     *ACCOUNT_FAULTS,
+    *HALL_FAULTS,
     Fault(
         "budget",
         "disruption budgets are not checked",
