A run that stays after its hall was uncordoned may leave for a wave later

The drain kept the run after it had withdrawn its stop, so each later stop of that run for maintenance was withdrawn as well and its wave could not end. The run is now forgotten with the withdrawal.

--- a/hingepitch/jobs/halldrain.py
+++ b/hingepitch/jobs/halldrain.py
@@ -108,10 +108,11 @@
             if step and step.lasts:
                 yield task[:3], step, 1
 
-    def is_withdrawn(self, run):
-        """Whether a run need not leave any more: its hall was uncordoned in time.
+    def withdraw(self, run):
+        """Forget a run whose hall was uncordoned in time; return whether it was.
 
-        False once a stop was sent, since it may still be carried out.
+        False once a stop was sent, since it may still be carried out. The run may
+        leave later for another reason.
         """
         if (run.task, run.number) not in self.drained:
             return False
@@ -120,7 +121,10 @@
             return False
         agent = self.session.agent_by_minion.get(run.minion)
         view = agent and agent.view_by_task.get(run.task)
-        return view is not None and not view.is_stop_sent
+        if view is None or view.is_stop_sent:
+            return False
+        self.drained.discard((run.task, run.number))
+        return True
 
 
 def reserve(work, key, step, count):
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -104,7 +104,7 @@
         while the stop waited for its turn, for a confirmation of the leadership or
         for an answer. A stop that is no longer needed exceeds any budget.
         """
-        if self.session.hall_drain.is_withdrawn(run):
+        if self.session.hall_drain.withdraw(run):
             return True
         step = self.session.step_of(run)
         if self.evacuated.get((run.task, run.number)) != UPKEEP_REASON or step is None:
--- a/tests/test_hall_drain.py
+++ b/tests/test_hall_drain.py
@@ -316,3 +316,20 @@
     assert not log.watch.exceeds_budget(run)
     cordon(log, "h0", is_cordoned=False)
     assert log.watch.exceeds_budget(run) is not is_stop_sent
+
+
+# Guards against a wave whose stop of a run is withdrawn for good, as a cordon that is
+# over had the run leave before.
+def test_a_run_may_leave_for_a_wave_after_its_cordon_is_over():
+    log = RoomLog()
+    log.place("i-0")
+    cordon(log, "h0")
+    assert log.evacuated() == [0]
+    run = log.table.run_by_task[task()]
+    view = RunView(run, RunViewStatus.RUNNING)
+    log.drain.session.agent_by_minion["i-0"].view_by_task[task()] = view
+    cordon(log, "h0", is_cordoned=False)
+    assert log.watch.exceeds_budget(run)
+    log.watch.withdraw_evacuation(run)
+    log.watch.evacuate(run, UPKEEP_REASON)
+    assert not log.watch.exceeds_budget(run)
