Estimate how long a new job waits for the work ahead of it

The leader knew the load of its pools but not when a new job would end. The backlog of each pool is measured in one walk over all open work, sorted by the order in which steps are started, with running sums: a wait is then one look-up, and jobs accepted since the measurement are added to it.

Weighed: measuring at each arrival, which walks thousands of steps for each. Work of an account beyond what its quota allows soon does not count, since it does not hold up others.

--- /dev/null
+++ b/hingepitch/jobs/backlog.py
@@ -0,0 +1,247 @@
+"""
+hingepitch.jobs.backlog
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Measures the work that is ahead of a new job in its pool, in the order of urgency.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from bisect import bisect_left, insort
+from dataclasses import dataclass, field
+from itertools import accumulate
+from math import inf
+from typing import NamedTuple
+
+from hingepitch.jobs.due import due_ms, is_late
+from hingepitch.jobs.load import PoolLoad, add_minion
+from hingepitch.jobs.record import TaskStatus
+
+__all__ = ["PoolBacklog", "Rank", "WaitingJob", "measure_backlogs", "waiting_job"]
+
+#: Time for which the quota of an account limits its work ahead of other accounts, in
+#: milliseconds. Admission decides on waits of a few seconds at most.
+QUOTA_HORIZON_MS = 5000
+
+
+class Rank(NamedTuple):
+    """Place of a job in the order of urgency, as `plan.urgency` orders its steps.
+
+    `due_ms`
+        Its deadline, in milliseconds since the epoch.
+    """
+
+    priority: int
+    is_excess: bool
+    is_late: bool
+    due_ms: float
+
+
+class WaitingJob(NamedTuple):
+    """The work of a job that waits.
+
+    `core_ms`
+        Its work, in core-milliseconds.
+    `millicores`
+        What its widest step uses.
+    """
+
+    rank: Rank
+    core_ms: float
+    millicores: float = 0.0
+
+    @property
+    def run_ms(self):
+        """How long the work takes on `millicores`, in milliseconds."""
+        return 1000 * self.core_ms / self.millicores if self.millicores else 0.0
+
+
+@dataclass(slots=True)
+class PoolBacklog:
+    """The work of one pool at one moment, and what was accepted since.
+
+    `load`
+        The `PoolLoad`, with the capacity of its minions.
+    `lasting`
+        Millicores that long-running tasks use or wait for.
+    `runs`
+        Remaining time in milliseconds and millicores of each run that will end.
+    `running`
+        Sum of the millicores of `runs`.
+    `waiting`
+        The `WaitingJob`s; sorted after `seal`.
+    `waiting_millicores`
+        What the tasks that are ready would use if all of them ran.
+    `work_until`
+        Work of the first jobs of `waiting` by their number, in core-milliseconds.
+    `recent`
+        The `WaitingJob`s that were accepted since, sorted.
+    """
+
+    load: PoolLoad = field(default_factory=PoolLoad)
+    lasting: int = 0
+    runs: list[tuple[float, int]] = field(default_factory=list)
+    running: float = 0
+    waiting: list[WaitingJob] = field(default_factory=list)
+    waiting_millicores: int = 0
+    work_until: list[float] = field(default_factory=list)
+    recent: list[WaitingJob] = field(default_factory=list)
+
+    @property
+    def room(self):
+        """Millicores of the pool that long-running tasks leave."""
+        return max(0, self.load.room - self.lasting)
+
+    @property
+    def free(self):
+        """Millicores that neither runs nor ready tasks will use."""
+        return self.room - self.running - self.waiting_millicores
+
+    def seal(self):
+        """Sort the waiting jobs once all of them are there."""
+        self.waiting.sort()
+        works = (job.core_ms for job in self.waiting)
+        self.work_until = list(accumulate(works, initial=0.0))
+
+    def add_recent(self, job):
+        """Add a job that was accepted after the measurement."""
+        insort(self.recent, job)
+        self.waiting_millicores += job.millicores
+
+    def remove_recent(self, job):
+        """Remove a job that was not accepted after all."""
+        if job in self.recent:
+            self.recent.remove(job)
+            self.waiting_millicores -= job.millicores
+
+    def place(self, rank):
+        """Return the number of jobs of `waiting` that are ahead of a new job.
+
+        Those of the same rank are: they became ready before it.
+        """
+        return bisect_left(self.waiting, WaitingJob(rank, inf))
+
+    def recent_ahead(self, rank):
+        """Return the work of the recent jobs ahead of a rank, in core-milliseconds."""
+        count = bisect_left(self.recent, WaitingJob(rank, inf))
+        return sum(job.core_ms for job in self.recent[:count])
+
+    def work_ahead(self, rank):
+        """Return the waiting work ahead of a rank, in core-milliseconds."""
+        return self.work_until[self.place(rank)] + self.recent_ahead(rank)
+
+
+def amount_of(step, load):
+    """Return the millicores of a task, or the share of memory if that is larger."""
+    from_memory = step.memory_mb * load.room / load.room_mb if load.room_mb else 0
+    return max(step.counted_millicores, from_memory)
+
+
+def waiting_job(rank, steps, load, expected_ms):
+    """Return the `WaitingJob` of a new job with `steps`."""
+    amounts = [step.count * amount_of(step, load) for step in steps]
+    pairs = list(zip(steps, amounts, strict=True))
+    core_ms = sum(amount * expected_ms(step) for step, amount in pairs) / 1000
+    return WaitingJob(rank, core_ms, max(amounts))
+
+
+def measure_backlogs(table, now_ms, durations, is_excess):
+    """Return the `PoolBacklog` of each pool by name; walks all open work once.
+
+    `now_ms`
+        The current time, in milliseconds since the epoch.
+    `is_excess`
+        Function from the id of a job to whether it is beyond its account's rate.
+    """
+    backlog_by_pool = {}
+    for minion in table.minion_by_id.values():
+        if minion.hall not in table.cordons:
+            backlog = backlog_by_pool.setdefault(minion.pool, PoolBacklog())
+            add_minion(backlog.load, table, minion)
+    for run in table.run_by_task.values():
+        add_run(backlog_by_pool, table, run, now_ms, durations)
+    budgets = {}
+    for key in first_steps(table):
+        add_job(backlog_by_pool, table, key, now_ms, durations, is_excess, budgets)
+    for backlog in backlog_by_pool.values():
+        backlog.seal()
+    return backlog_by_pool
+
+
+def first_steps(table):
+    """Return one step of each round that has ready steps or runs."""
+    step_by_round = {}
+    for key in table.ready_steps:
+        step_by_round.setdefault(key[:2], key)
+    for run in table.run_by_task.values():
+        step_by_round.setdefault(run.task[:2], run.task[:3])
+    return step_by_round.values()
+
+
+def add_run(backlog_by_pool, table, run, now_ms, durations):
+    """Add a run to the backlog of its minion's pool."""
+    minion = table.minion_by_id.get(run.minion)
+    job = table.job_by_id.get(run.task.job)
+    backlog = backlog_by_pool.get(minion.pool) if minion else None
+    if backlog is None or job is None:
+        return
+    step = job.spec.steps[run.task.step]
+    amount = amount_of(step, backlog.load)
+    if step.lasts:
+        backlog.lasting += amount
+        return
+    expected_ms = durations.expected_ms(table.current_queue(job).route, step)
+    left_ms = max(0.0, expected_ms - max(0, now_ms - run.started_ms))
+    backlog.runs.append((left_ms, amount))
+    backlog.running += amount
+
+
+def add_job(
+    backlog_by_pool, table, step_key, now_ms, durations, is_excess, budget_by_account
+):
+    """Add the waiting work of a round, later steps included, to its pool's backlog.
+
+    `budget_by_account`
+        The work that the quotas of accounts allow within `QUOTA_HORIZON_MS`.
+    """
+    job_id, round_number, step_number = step_key
+    job = table.job_by_id.get(job_id)
+    opened = job and job.round_by_number.get(round_number)
+    if not opened:
+        return
+    queue = table.current_queue(job)
+    backlog = backlog_by_pool.get(queue.pool)
+    if backlog is None:
+        return
+    core_ms = widest = 0.0
+    for number, step in enumerate(job.spec.steps):
+        if not opened.left_by_step[number] or not backlog.load.can_hold(step):
+            continue
+        waiting = sum(
+            task.status is TaskStatus.WAITING for task in opened.tasks_by_step[number]
+        )
+        amount = waiting * amount_of(step, backlog.load)
+        if step.lasts:
+            backlog.lasting += amount
+            continue
+        widest = max(widest, amount)
+        core_ms += amount * durations.expected_ms(queue.route, step) / 1000
+        if (job_id, round_number, number) in table.ready_steps:
+            backlog.waiting_millicores += amount
+    core_ms = within_quota(table, job.account, core_ms, budget_by_account)
+    if core_ms:
+        late = is_late(queue, job, round_number, step_number, now_ms, durations)
+        due = due_ms(queue, job, round_number, durations)
+        rank = Rank(queue.priority, is_excess(job_id), late, due)
+        backlog.waiting.append(WaitingJob(rank, core_ms, widest))
+
+
+def within_quota(table, account, core_ms, budget_by_account):
+    """Return the part of a job's work that its account's quota allows soon."""
+    limit = table.ledger.quota(account).cpu_millicores if account else 0
+    if not limit:
+        return core_ms
+    left = budget_by_account.setdefault(account, limit * QUOTA_HORIZON_MS / 1000)
+    budget_by_account[account] = max(0.0, left - core_ms)
+    return min(core_ms, left)
--- a/hingepitch/jobs/due.py
+++ b/hingepitch/jobs/due.py
@@ -12,7 +12,7 @@
 
 from hingepitch.jobs.spec import critical_path_from_ms, critical_path_ms
 
-__all__ = ["due_ms", "is_late"]
+__all__ = ["due_ms", "is_late", "longest_wait_ms"]
 
 #: Margin, in standard errors above the expected run times, for classifying a round
 #: as late: four out of five rounds classified as late are so. Without a margin,
@@ -64,3 +64,16 @@
     return used_slack_ms > slack_ms * exp(
         LATE_STANDARD_ERRORS * durations.error(current_queue.route)
     )
+
+
+def longest_wait_ms(current_queue, steps, durations, objectives=1):
+    """Return how long a new job may wait until `is_late` would hold for it.
+
+    `objectives`
+        How many times its objective the job may take, its critical path included.
+    """
+    expected_ms = durations.queue_estimator(current_queue.route)
+    chain = critical_path_ms(steps, expected_ms)
+    slack_ms = objectives * current_queue.stretch * chain - chain
+    error = LATE_STANDARD_ERRORS * durations.error(current_queue.route)
+    return objectives * current_queue.objective_ms + slack_ms * exp(error)
--- a/hingepitch/jobs/duration.py
+++ b/hingepitch/jobs/duration.py
@@ -176,6 +176,11 @@
         fit = self.fit_by_route.get(route)
         return fit.error() if fit is not None else INITIAL_ERROR
 
+    def is_known(self, route):
+        """Whether enough steps of a queue were observed to correct its estimates."""
+        fit = self.fit_by_route.get(route)
+        return fit is not None and fit.line is not None
+
     def queue_estimator(self, route):
         """Return a function from a step of a queue to its expected run time."""
         return partial(self.expected_ms, route)
