Refuse at the leader what it knows it cannot serve

A job was accepted even if it could not end in time; late refusals are the dear ones. Before a job is proposed, the leader now refuses one that is beyond its account's rate and cannot meet its deadline (over_rate, 429) and, if the settings name pressure, one that cannot end within three times its objective (cannot_finish, 503). It accepts in doubt: before it knows its demand, run times and minions, without a recent confirmation of its leadership, for jobs with due times, long-running steps and accounts without weight.

Tokens: admission looks at the bucket and takes a token only for a job that it lets through, under the job's id, which the planner's meter finds; a job that the log refuses puts it back. So a refused job costs its account nothing.

True answers: jobs whose recording had an unknown outcome are never refused; a refusal holds for the shortest time that callers are told to wait, so that a delayed attempt is not accepted right after it; entries of earlier versions, which would answer the new codes with 500, are never refused.

Callers get times to return that are spread by what each of them will use. Metrics have the error of the estimated end of accepted jobs, for at most 10,000 open jobs.

--- a/hingepitch/error.py
+++ b/hingepitch/error.py
@@ -44,6 +44,8 @@
     "over_quota": ErrorKind(422, "The quota of the account is too small for the job"),
     "job_id_taken": ErrorKind(409, "Another account has a job with this id"),
     "too_many_jobs": ErrorKind(429, "Too many jobs are open"),
+    "over_rate": ErrorKind(429, "The account is beyond its rate and the pool is full"),
+    "cannot_finish": ErrorKind(503, "The job cannot finish while its end is of use"),
     "life_absent": ErrorKind(503, "The life of the minion does not answer"),
     "life_present": ErrorKind(503, "The life of the minion may go on"),
     "no_queues": ErrorKind(503, "No queue is configured yet"),
--- a/hingepitch/jobs/account.py
+++ b/hingepitch/jobs/account.py
@@ -25,6 +25,7 @@
     "caller_of",
     "check_accounts",
     "digest_key",
+    "find_caller",
     "has_access",
     "has_known_key",
 ]
--- /dev/null
+++ b/hingepitch/jobs/admission.py
@@ -0,0 +1,328 @@
+"""
+hingepitch.jobs.admission
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Admission control: refuses new jobs that the leader knows it cannot serve.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+from collections import defaultdict
+from contextlib import contextmanager
+from dataclasses import dataclass
+from math import isfinite
+
+from hingepitch.clock import lease_seconds
+from hingepitch.error import HingepitchError
+from hingepitch.jobs.account import find_caller
+from hingepitch.jobs.arrival import ArrivalRate
+from hingepitch.jobs.backlog import Rank, WaitingJob, measure_backlogs, waiting_job
+from hingepitch.jobs.client import UNKNOWN_OUTCOME_CODES
+from hingepitch.jobs.due import longest_wait_ms
+from hingepitch.jobs.estimate import BoundEstimator, Supply
+from hingepitch.jobs.queue import Queue
+from hingepitch.jobs.retry import MIN_RETRY_MS, RetrySchedule
+from hingepitch.jobs.spec import critical_path_ms
+from hingepitch.log import log_event
+
+__all__ = ["Admission"]
+
+#: Shortest time between two measurements of the backlog, in seconds. Jobs that are
+#: accepted in between are added to the last one.
+MEASURE_SECONDS = 0.05
+
+#: Shortest time between two measurements, as a multiple of the duration of the last
+#: one, so that measurements use at most a tenth of the CPU.
+MEASURE_PAUSE_FACTOR = 9
+
+#: A response is worth nothing after this many times the objective of its job.
+WORTHLESS_OBJECTIVES = 3
+
+#: Time until the mover orders a VM that a pool lacks, in seconds.
+ORDER_SECONDS = 0.1
+
+
+@dataclass(slots=True)
+class Candidate:
+    """A new job on which admission decides.
+
+    `account`
+        The `ClientAccount` whose rate it counts for, or None.
+    `token_wait_ms`
+        Time until its account has a token for it; 0 if it is within the rate.
+    `work`
+        Its `WaitingJob`.
+    `wait_ms`
+        Its estimated wait, once it has been judged.
+    """
+
+    id: str
+    account: object
+    queue: Queue
+    steps: tuple
+    token_wait_ms: float
+    work: WaitingJob | None = None
+    wait_ms: float | None = None
+
+
+class Admission:
+    """Decides during one leadership which new jobs are refused.
+
+    A refusal changes nothing: a refused job uses up no token of its account, and may
+    be accepted when it is submitted again.
+
+    `session`
+        The `Session` of the leadership.
+    `clock`
+        Function that returns a monotonic time in seconds.
+    `make_estimator`
+        Function from a `PoolBacklog` and a `Supply` to an estimator of waits.
+    `backlog_by_pool`, `estimator_by_pool`
+        The last measurement.
+    `in_flight`
+        The pool and `WaitingJob` of each job that is being recorded in the log, by id.
+    `refusal_by_call`
+        Time and error of the last refusals, by id and key. For as long as callers are
+        told to wait at least, another attempt of the same call, which may have been
+        delayed on its way, is not accepted after the caller was told otherwise.
+    """
+
+    def __init__(self, session, clock=lease_seconds, make_estimator=BoundEstimator):
+        self.session = session
+        self.clock = clock
+        self.make_estimator = make_estimator
+        self.backlog_by_pool = {}
+        self.estimator_by_pool = {}
+        self.arriving_by_class = {}
+        self.rate_by_class = defaultdict(ArrivalRate)
+        self.next_measurement = 0.0
+        self.in_flight = {}
+        self.refusal_by_call = {}
+        self.retries = RetrySchedule()
+
+    @property
+    def table(self):
+        """The replicated job table."""
+        return self.session.table
+
+    @property
+    def shares(self):
+        """The `ShareMeter`, which the planner uses as well."""
+        return self.session.planner.shares
+
+    @contextmanager
+    def admitting(self, question, at_ms):
+        """Check a new job and count it while the `with` block records it in the log.
+
+        Raises `HingepitchError` (`over_rate`, `cannot_finish`) if it is refused.
+        """
+        candidate = self.check(question, at_ms)
+        try:
+            yield
+        except HingepitchError as error:
+            if error.code not in UNKNOWN_OUTCOME_CODES:
+                self.uncount(candidate)
+            raise
+        else:
+            self.shares.confirm(self.table, question.id)
+        finally:
+            self.in_flight.pop(question.id, None)
+
+    def check(self, question, at_ms):
+        """Return the `Candidate` of a new job, or None if nothing is known of it.
+
+        `at_ms`
+            The time of its acceptance, in milliseconds since the epoch.
+        """
+        queue = self.table.queues.find(question.host, question.path)
+        steps = question.spec.steps
+        is_exempt = question.spec.times or any(step.lasts for step in steps)
+        if queue is None or is_exempt:
+            return None
+        self.raise_last_refusal(question)
+        account = self.account_of(question)
+        token_wait_ms = self.token_wait_ms(account, question.id, at_ms)
+        candidate = Candidate(question.id, account, queue, steps, token_wait_ms)
+        if self.knows_enough(queue, at_ms):
+            code = self.judge(candidate, at_ms)
+            if code and self.session.may_order():
+                self.refuse(question, candidate, code)
+        self.count(candidate, at_ms)
+        return candidate
+
+    def account_of(self, question):
+        """Return the `ClientAccount` of a new job if it has a rate, else None."""
+        if not self.table.has_accounts:
+            return None
+        name = find_caller(self.table, question, None)
+        account = self.table.accounts.account_by_name.get(name)
+        return account if account is not None and account.weight else None
+
+    def token_wait_ms(self, account, job_id, at_ms):
+        """Return the time until an account has a token for a job, in milliseconds.
+
+        A job that is counted already, by an earlier attempt, keeps its place.
+        """
+        if account is None or self.shares.is_excess_by_new_job.get(job_id) is False:
+            return 0.0
+        return self.shares.token_wait_ms(account, at_ms)
+
+    def knows_enough(self, queue, at_ms):
+        """Whether this leadership knows the demand, the run times and the minions."""
+        if not self.session.mover.demand.is_known(self.clock()):
+            return False
+        if not self.session.durations.is_known(queue.route):
+            return False
+        self.measure_if_due(at_ms)
+        backlog = self.backlog_by_pool.get(queue.pool)
+        return backlog is not None and backlog.room > 0
+
+    def measure_if_due(self, at_ms):
+        """Measure the backlog of all pools unless the last measurement is recent."""
+        now = self.clock()
+        if now < self.next_measurement:
+            return
+        began = lease_seconds()
+        self.backlog_by_pool = measure_backlogs(
+            self.table, at_ms, self.session.durations, self.shares.is_known_excess
+        )
+        self.estimator_by_pool = {
+            pool: self.make_estimator(backlog, self.supply(pool, backlog))
+            for pool, backlog in self.backlog_by_pool.items()
+        }
+        for pool, work in self.in_flight.values():
+            if pool in self.backlog_by_pool:
+                self.backlog_by_pool[pool].add_recent(work)
+        self.arriving_by_class = {
+            key: rate.millicores(now) for key, rate in self.rate_by_class.items()
+        }
+        took = lease_seconds() - began
+        pause = max(MEASURE_SECONDS, MEASURE_PAUSE_FACTOR * took)
+        self.next_measurement = now + pause
+
+    def supply(self, pool, backlog):
+        """Return the `Supply` of a pool: minions, VMs on their way, spare VMs."""
+        load, mover = backlog.load, self.session.mover
+        vm_room = load.room / load.minions if load.minions else 0
+        move_ms = 1000 * self.session.terms.move_seconds
+        coming = (
+            # The moves in progress began at different times: half of a move is left.
+            (move_ms / 2, mover.incoming(pool) * vm_room),
+            (move_ms + 1000 * ORDER_SECONDS, len(mover.spare_pool_by_vm) * vm_room),
+        )
+        return Supply(backlog.room, tuple(pair for pair in coming if pair[1]))
+
+    def judge(self, candidate, at_ms):
+        """Return the error code with which a job is refused, or None."""
+        queue, steps, durations = candidate.queue, candidate.steps, self.durations
+        backlog = self.backlog_by_pool[queue.pool]
+        expected_ms = durations.queue_estimator(queue.route)
+        chain_ms = critical_path_ms(steps, expected_ms)
+        due_ms = at_ms + queue.objective_ms + queue.stretch * chain_ms
+        rank = Rank(queue.priority, candidate.token_wait_ms > 0, False, due_ms)
+        candidate.work = waiting_job(rank, steps, backlog.load, expected_ms)
+        # A job that is wide for its pool takes longer than its critical path.
+        longer_ms = max(0.0, 1000 * candidate.work.core_ms / backlog.room - chain_ms)
+        candidate.wait_ms = self.wait_ms(queue.pool, rank) + longer_ms
+        if candidate.wait_ms <= longest_wait_ms(queue, steps, durations):
+            return None
+        if rank.is_excess:
+            return "over_rate"
+        late_rank = rank._replace(is_late=True)
+        candidate.wait_ms = self.wait_ms(queue.pool, late_rank) + longer_ms
+        limit_ms = longest_wait_ms(queue, steps, durations, WORTHLESS_OBJECTIVES)
+        if self.session.terms.has_pressure and candidate.wait_ms > limit_ms:
+            return "cannot_finish"
+        return None
+
+    @property
+    def durations(self):
+        """The expected run times."""
+        return self.session.durations
+
+    def wait_ms(self, pool, rank):
+        """Return the estimated wait of a new job, in milliseconds.
+
+        What arrives within the rates goes ahead of what is late or beyond its rate.
+        """
+        arriving = 0.0
+        if rank.is_late or rank.is_excess:
+            arriving += self.arriving_by_class.get((pool, False), 0)
+        if rank.is_late and rank.is_excess:
+            arriving += self.arriving_by_class.get((pool, True), 0)
+        return self.estimator_by_pool[pool].wait_ms(rank, arriving)
+
+    def count(self, candidate, at_ms):
+        """Count a job that is going to be recorded: its token and its work."""
+        if candidate.account is not None:
+            self.shares.count_new(candidate.account, candidate.id, at_ms)
+        if candidate.work is None:
+            return
+        pool, work = candidate.queue.pool, candidate.work
+        self.in_flight[candidate.id] = pool, work
+        self.backlog_by_pool[pool].add_recent(work)
+        rate = self.rate_by_class[pool, work.rank.is_excess]
+        rate.note(work.core_ms, self.clock())
+        chain_ms = critical_path_ms(
+            candidate.steps, self.durations.queue_estimator(candidate.queue.route)
+        )
+        if isfinite(candidate.wait_ms):
+            end_ms = at_ms + candidate.wait_ms + chain_ms
+            self.session.gauge.note_estimate(candidate.id, end_ms)
+
+    def uncount(self, candidate):
+        """Undo `count` for a job that was certainly not recorded."""
+        if candidate is None:
+            return
+        if candidate.account is not None:
+            self.shares.uncount(candidate.account, candidate.id)
+        backlog = self.backlog_by_pool.get(candidate.queue.pool)
+        if backlog is not None and candidate.work is not None:
+            backlog.remove_recent(candidate.work)
+
+    def raise_last_refusal(self, question):
+        """Refuse a job again that was refused within `MIN_RETRY_MS`."""
+        now = self.clock()
+        while self.refusal_by_call:
+            call, (at, _) = next(iter(self.refusal_by_call.items()))
+            if 1000 * (now - at) < MIN_RETRY_MS:
+                break
+            del self.refusal_by_call[call]
+        last = self.refusal_by_call.get((question.id, question.key))
+        if last is not None:
+            error = last[1]
+            raise HingepitchError(error.code, error.detail, error.retry_after_ms)
+
+    def refuse(self, question, candidate, code):
+        """Refuse a job with the time after which it would be served."""
+        now = self.clock()
+        queue, work, backlog = (
+            candidate.queue,
+            candidate.work,
+            self.backlog_by_pool[candidate.queue.pool],
+        )
+        if code == "over_rate":
+            place, wait_ms = candidate.account.name, candidate.token_wait_ms
+            spacing_ms = 1000 / candidate.account.weight
+        else:
+            limit_ms = longest_wait_ms(queue, candidate.steps, self.durations)
+            place, wait_ms = queue.pool, candidate.wait_ms - limit_ms
+            spacing_ms = 1000 * work.core_ms / backlog.room
+        retry_ms = self.retries.reserve((code, place), wait_ms, spacing_ms, 1000 * now)
+        log_event(
+            "job_refused",
+            job=question.id,
+            code=code,
+            queue=queue.name,
+            account=candidate.account.name if candidate.account else "",
+            wait_ms=candidate.wait_ms,
+            ahead_core_ms=round(backlog.work_ahead(work.rank)),
+            room=backlog.room,
+            retry_after_ms=retry_ms,
+        )
+        error = HingepitchError(
+            code, f"estimated wait {candidate.wait_ms:.0f} ms", retry_ms
+        )
+        self.refusal_by_call[question.id, question.key] = now, error
+        raise error
--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -45,6 +45,8 @@
         "over_quota",
         "storage_failed",
         "unknown_hall",
+        "over_rate",
+        "cannot_finish",
     )
 )
 
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -102,6 +102,10 @@
             self.session = None
             self.roster.clear()
 
+    def current_admission(self):
+        """Return the `Admission` of the current session, or None without one."""
+        return self.session.admission if self.session is not None else None
+
     def note_heartbeat(self, minion_id, clock_ms, cold_ms=None):
         """Pass a heartbeat on to the current session, if there is one."""
         if self.session is not None:
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -15,7 +15,7 @@
 from hingepitch.jobs.crash import CrashRegistry
 from hingepitch.jobs.hallrows import HallRow
 from hingepitch.jobs.ledger import AccountLedger
-from hingepitch.jobs.record import TaskStatus
+from hingepitch.jobs.record import JobStatus, TaskStatus
 from hingepitch.jobs.runview import RunViewStatus
 
 __all__ = ["DispatchGauge"]
@@ -25,6 +25,9 @@
 #: is usable.
 MINION_STATES = ("silent", "sick", "unused", "usable")
 
+#: Limit of the open jobs whose estimated end is kept.
+MAX_ESTIMATES = 10_000
+
 #: Limit of the client accounts that have metrics of their own.
 MAX_SHOWN_ACCOUNTS = 64
 
@@ -39,6 +42,8 @@
         The `Metrics` of the process, which outlive the leadership.
     `session`
         The `Session` of the leadership, whose job table is read.
+    `estimated_end_ms_by_job`
+        Estimated ends of the latest accepted jobs, in milliseconds since the epoch.
     `shown_accounts`
         Names of the client accounts that have had a metric.
     `shown_halls`
@@ -50,6 +55,7 @@
         self.session = session
         self.shown_accounts = set()
         self.shown_halls = set()
+        self.estimated_end_ms_by_job = {}
 
     def note_commit(self, command, seconds):
         """Record the time of a command from its proposal to its commit."""
@@ -87,6 +93,25 @@
             job = self.session.table.job_by_id.get(job_id)
             if job is not None and not job.is_open and job.ended_ms == at_ms:
                 self.observe_since("job_seconds", job, at_ms, status=job.status.value)
+                self.note_estimate_error(job)
+
+    def note_estimate(self, job_id, end_ms):
+        """Keep the estimated end of a job that is being accepted."""
+        while len(self.estimated_end_ms_by_job) >= MAX_ESTIMATES:
+            del self.estimated_end_ms_by_job[next(iter(self.estimated_end_ms_by_job))]
+        self.estimated_end_ms_by_job[job_id] = end_ms
+
+    def note_estimate_error(self, job):
+        """Record by how much the end of a job differs from its estimate."""
+        estimated_ms = self.estimated_end_ms_by_job.pop(job.id, None)
+        if estimated_ms is not None and job.status is JobStatus.SUCCEEDED:
+            error_ms = job.ended_ms - estimated_ms
+            self.metrics.observe(
+                "admission_error_seconds",
+                "From the estimated to the actual end of a job.",
+                abs(error_ms) / 1000,
+                ended="late" if error_ms > 0 else "early",
+            )
 
     def note_failure(self, name):
         """Count a failure that was contained in one part of the leader's work."""
--- a/hingepitch/jobs/question.py
+++ b/hingepitch/jobs/question.py
@@ -53,6 +53,10 @@
     `key`
         Digest of the key that the call bears, or `NO_KEY`. None from versions that
         pass on no keys.
+    `is_refusable`
+        Whether the sender knows the error codes of admission control. Earlier versions
+        would answer them with 500, from which no caller can tell that the job never
+        runs.
     """
 
     id: str
@@ -60,6 +64,7 @@
     path: str
     spec: JobSpec
     key: bytes | None = None
+    is_refusable: bool = False
 
 
 class AskJob(Question, frozen=True):
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -8,6 +8,7 @@
 :license: BSD, see LICENSE for details.
 """
 
+from contextlib import nullcontext
 from functools import singledispatchmethod
 
 from gevent.event import AsyncResult
@@ -21,6 +22,7 @@
     has_access,
     has_known_key,
 )
+from hingepitch.jobs.client import UNKNOWN_OUTCOME_CODES
 from hingepitch.jobs.command import (
     AcceptJob,
     CancelJob,
@@ -43,6 +45,9 @@
 #: may rely, in seconds; 0 would need a quorum round for each read.
 MAX_CONFIRMATION_AGE_SECONDS = 1.0
 
+#: Limit of the jobs with an unknown outcome that are kept.
+MAX_UNCERTAIN_JOBS = 10_000
+
 
 class JobService:
     """Answers the requests that this process receives as the leader.
@@ -57,6 +62,10 @@
         Name of this process, for the envelopes of commands.
     `accepting`
         `AsyncResult` of each job that is being recorded in the log, by id and key.
+    `find_admission`
+        Function that returns the `Admission` of the current session, or None.
+    `uncertain`
+        Ids of the jobs whose recording had an unknown outcome, as keys, oldest first.
     `minions`
         The `MinionRegistration`, which answers what minions say of themselves.
     `halls`
@@ -70,6 +79,8 @@
         self.name = name
         self.confirmed_at = 0.0
         self.accepting = {}
+        self.find_admission = lambda: None
+        self.uncertain = {}
         self.minions = MinionRegistration(self)
         self.halls = HallService(self)
 
@@ -146,16 +157,18 @@
             del self.accepting[call]
 
     def accept(self, question):
-        """Record a job in the log."""
+        """Record a job in the log, unless admission control refuses it."""
+        at_ms = wall_ms()
         command = AcceptJob(
             question.id,
             question.host,
             question.path,
             question.spec,
-            wall_ms(),
+            at_ms,
             question.key,
         )
-        self.propose(Role.ENTRY, command)
+        with self.admitting(question, at_ms):
+            self.propose_job(command)
         log_event(
             "job_accepted",
             job=question.id,
@@ -166,6 +179,31 @@
             account=self.account_of(question.id),
         )
 
+    def admitting(self, question, at_ms):
+        """Return the context in which a job is recorded, if it is admitted.
+
+        A job that the log may still come to accept is never refused.
+        """
+        admission = self.find_admission() if question.is_refusable else None
+        if admission is None or question.id in self.uncertain:
+            return nullcontext()
+        return admission.admitting(question, at_ms)
+
+    def propose_job(self, command):
+        """Propose a job for the log; note it if the outcome is unknown."""
+        is_settled = False
+        try:
+            self.propose(Role.ENTRY, command)
+            is_settled = True
+        except HingepitchError as error:
+            is_settled = error.code not in UNKNOWN_OUTCOME_CODES
+            raise
+        finally:
+            if not is_settled:
+                self.uncertain[command.id] = None
+                if len(self.uncertain) > MAX_UNCERTAIN_JOBS:
+                    del self.uncertain[next(iter(self.uncertain))]
+
     def account_of(self, job_id):
         """Return the name of the account of a job; empty if it has none."""
         job = self.table.job_by_id.get(job_id)
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -14,6 +14,7 @@
 
 from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.error import HingepitchError
+from hingepitch.jobs.admission import Admission
 from hingepitch.jobs.agentregistry import AgentRegistry
 from hingepitch.jobs.blame import (
     blame_of,
@@ -88,6 +89,8 @@
         The `StartPlanner` of this leadership.
     `hall_drain`
         The `HallDrain` of this leadership.
+    `admission`
+        The `Admission`, which decides on new jobs.
     `suspect_waits`
         The `SuspectWaitTracker` of the tasks that must start in isolation.
     `inherited`
@@ -116,6 +119,7 @@
         self.restarts = RestartBackoff()
         self.suspect_waits = SuspectWaitTracker(lease_seconds)
         self.planner = StartPlanner(self)
+        self.admission = Admission(self)
         self.inherited = {
             (run.task, run.number) for run in self.table.run_by_task.values()
         }
--- a/hingepitch/jobs/terms.py
+++ b/hingepitch/jobs/terms.py
@@ -64,6 +64,8 @@
         Whether the tasks of a long-running step are spread over halls.
     `pools`
         The `PoolTerms`, which decide when VMs change pool.
+    `has_pressure`
+        Whether jobs that cannot end while their end is of use are refused.
     """
 
     lease_seconds: float = 6.0
@@ -79,6 +81,7 @@
     cold: ColdTerms | None = None
     spreads_over_halls: bool = False
     pools: PoolTerms = PoolTerms()
+    has_pressure: bool = False
 
     @property
     def confirmed_expiry_seconds(self):
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -65,6 +65,7 @@
     "job_step": "INFO",
     "platform_failed": "WARNING",
     "job_accepted": "INFO",
+    "job_refused": "INFO",
     "job_cancelled": "INFO",
     "queues_put": "INFO",
     "wave_put": "INFO",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -401,6 +401,10 @@
         (("storage_failed", "no_queues"), "no_queues"),
         (("storage_failed",) * 99, "no_leader"),
         (("lost_leadership", "storage_failed", "no_queues"), "deadline_passed"),
+        (("over_rate",), "over_rate"),
+        (("not_leader", "cannot_finish"), "cannot_finish"),
+        (("peer_failed", "over_rate"), "deadline_passed"),
+        (("lost_leadership", "cannot_finish"), "deadline_passed"),
     ],
 )
 def test_call_that_may_have_been_executed_is_not_reported_as_refused(codes, expected):
