--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -183,7 +183,6 @@
         now = self.clock()
         if now < self.next_measurement:
             return
-        began = lease_seconds()
         self.backlog_by_pool = measure_backlogs(
             self.table, at_ms, self.session.durations, self.shares.is_known_excess
         )
@@ -197,7 +196,7 @@
         self.arriving_by_class = {
             key: rate.millicores(now) for key, rate in self.rate_by_class.items()
         }
-        took = lease_seconds() - began
+        took = self.clock() - now
         pause = max(MEASURE_SECONDS, MEASURE_PAUSE_FACTOR * took)
         self.next_measurement = now + pause
 
--- a/hingepitch/jobs/backlog.py
+++ b/hingepitch/jobs/backlog.py
@@ -51,11 +51,6 @@
     core_ms: float
     millicores: float = 0.0
 
-    @property
-    def run_ms(self):
-        """How long the work takes on `millicores`, in milliseconds."""
-        return 1000 * self.core_ms / self.millicores if self.millicores else 0.0
-
 
 @dataclass(slots=True)
 class PoolBacklog:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -128,6 +128,16 @@
     assert leader.code("small") is None
 
 
+# Guards against refusals of what the spare VMs that a pool can still get would serve.
+def test_spare_vms_that_can_still_come_count(leader):
+    leader.fill(200)
+    assert leader.code("plain") == "cannot_finish"
+    spare = {f"spare-{number}": "off" for number in range(100)}
+    leader.session.mover.spare_pool_by_vm = spare
+    leader.admission.next_measurement = 0.0
+    assert leader.code("plain") is None
+
+
 # Guards against refused jobs that use up the rate of later ones, and against tokens
 # that are counted by admission and again by the planner.
 def test_a_token_is_counted_once_for_a_job_and_only_if_it_is_accepted(leader):
