--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -43,6 +43,12 @@
 ORDER_SECONDS = 0.1
 
 
+#: Part of the work arriving within the rates that counts as ahead of a job beyond its
+#: rate which is not late: some of it gets late, and then no longer goes ahead. With all
+#: of it, less work is done in time in overload.
+ARRIVING_PART = 0.5
+
+
 @dataclass(slots=True)
 class Candidate:
     """A new job on which admission decides.
@@ -250,6 +256,8 @@
             arriving += self.arriving_by_class.get((pool, False), 0)
         if rank.is_late and rank.is_excess:
             arriving += self.arriving_by_class.get((pool, True), 0)
+        if not rank.is_late:
+            arriving *= ARRIVING_PART
         return self.estimator_by_pool[pool].wait_ms(rank, arriving)
 
     def count(self, candidate, at_ms):
