--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,8 +5,8 @@
 import gevent
 import pytest
 
-from adapter.terms import make_dispatch_settings
 from adapter.settings import PlatformSettings
+from adapter.terms import make_dispatch_settings
 from hingepitch.error import HingepitchError
 from hingepitch.jobs import backlog as backlogs
 from hingepitch.jobs.account import digest_key
