Leave runs on closed minions out of the backlog

Runs on draining minions and in cordoned halls counted as used capacity, though their minions did not count as room, so the other minions seemed fuller than they are. They are left out of both.

--- a/hingepitch/jobs/backlog.py
+++ b/hingepitch/jobs/backlog.py
@@ -175,11 +175,14 @@
 
 
 def add_run(backlog_by_pool, table, run, now_ms, durations):
-    """Add a run to the backlog of its minion's pool."""
+    """Add a run to the backlog of its pool, unless its minion takes no new runs."""
     minion = table.minion_by_id.get(run.minion)
     job = table.job_by_id.get(run.task.job)
-    backlog = backlog_by_pool.get(minion.pool) if minion else None
-    if backlog is None or job is None:
+    if minion is None or job is None:
+        return
+    backlog = backlog_by_pool.get(minion.pool)
+    is_closed = minion.is_draining or minion.hall in table.cordons
+    if backlog is None or is_closed:
         return
     step = job.spec.steps[run.task.step]
     amount = amount_of(step, backlog.load)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,7 @@
 from adapter.settings import PlatformSettings
 from adapter.terms import make_dispatch_settings
 from hingepitch.error import HingepitchError
-from hingepitch.jobs import backlog as backlogs
+from hingepitch.jobs import backlog as backlogs, command as commands
 from hingepitch.jobs.account import digest_key
 from hingepitch.jobs.estimate import BoundEstimator
 from hingepitch.jobs.gauge import MAX_ESTIMATES
@@ -16,6 +16,7 @@
 from hingepitch.jobs.retry import MAX_RETRY_MS, MIN_RETRY_MS, RetrySchedule
 from hingepitch.jobs.service import JobService
 from hingepitch.jobs.spec import JobSpec, Step
+from hingepitch.model.command import Role
 from tests.overload_simulation import OverloadSimulation
 from tests.test_job_rules import HOST
 from tests.test_platform import CONFIG, JOB, JOB_BODY, ApiHarness
@@ -138,6 +139,23 @@
     assert leader.code("plain") is None
 
 
+# Guards against runs on minions that take no new ones, which would count against the
+# capacity of the others.
+def test_minions_that_take_no_new_runs_count_neither_as_room_nor_as_used(leader):
+    leader.fill(FULL)
+    leader.start_tasks()
+    minions = list(leader.table.minion_by_id.values())
+    leader.table.minion_by_id[minions[0].id] = replace(minions[0], is_draining=True)
+    leader.table.minion_by_id[minions[1].id] = replace(minions[1], hall="closed")
+    cordon = commands.CordonHall("closed", leader.now_ms, 0)
+    leader.service.propose(Role.OPERATOR, cordon)
+    assert "closed" in leader.table.cordons
+    assert leader.code("small") is None
+    backlog = leader.admission.backlog_by_pool["pool"]
+    assert backlog.room == 10 * minions[0].cpu_millicores
+    assert backlog.running == 10 * 10 * TASK.cpu_millicores
+
+
 # Guards against refused jobs that use up the rate of later ones, and against tokens
 # that are counted by admission and again by the planner.
 def test_a_token_is_counted_once_for_a_job_and_only_if_it_is_accepted(leader):
