Measure the backlog without a walk over tasks

The measurement looked at the state of each task of each waiting job: 180 ms for 5,000 jobs of eight tasks.

--- a/hingepitch/jobs/backlog.py
+++ b/hingepitch/jobs/backlog.py
@@ -16,7 +16,6 @@
 
 from hingepitch.jobs.due import due_ms, is_late
 from hingepitch.jobs.load import PoolLoad, add_minion
-from hingepitch.jobs.record import TaskStatus
 
 __all__ = ["PoolBacklog", "Rank", "WaitingJob", "measure_backlogs", "waiting_job"]
 
@@ -216,9 +215,8 @@
     for number, step in enumerate(job.spec.steps):
         if not opened.left_by_step[number] or not backlog.load.can_hold(step):
             continue
-        waiting = sum(
-            task.status is TaskStatus.WAITING for task in opened.tasks_by_step[number]
-        )
+        runs = table.run_counts_by_step.get((job_id, round_number, number), {})
+        waiting = max(0, opened.left_by_step[number] - sum(runs.values()))
         amount = waiting * amount_of(step, backlog.load)
         if step.lasts:
             backlog.lasting += amount
