--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -170,6 +170,19 @@
     assert not shares.is_excess_by_new_job
 
 
+# Guards against a second token for a job that the planner sees in the log before the
+# proposal has returned.
+def test_a_pass_before_the_proposal_returns_counts_no_second_token(leader):
+    shares = leader.session.planner.shares
+    for _ in range(RATES["heavy"]):
+        question = leader.question("heavy")
+        with leader.admission.admitting(question, leader.now_ms):
+            leader.record(question)
+            assert not shares.excess_jobs(leader.table)
+    bucket = shares.bucket_by_account["heavy"]
+    assert bucket.tokens == 0
+
+
 # Guards against a token that is lost with a job that the log refuses.
 def test_a_job_that_the_log_refuses_puts_its_token_back(leader):
     leader.fill(FULL)
