--- a/standin/faults.py
+++ b/standin/faults.py
@@ -21,6 +21,7 @@
 from pathlib import Path
 
 from standin.account_faults import ACCOUNT_FAULTS
+from standin.cordon_faults import CORDON_FAULTS
 from standin.crash_faults import CRASH_FAULTS
 from standin.fault import Fault
 from standin.hall_faults import HALL_FAULTS
@@ -64,6 +65,7 @@
     *INCARNATION_FAULTS,
     *ACCOUNT_FAULTS,
     *HALL_FAULTS,
+    *CORDON_FAULTS,
     Fault(
         "budget",
         "disruption budgets are not checked",
