Test cordons on real processes

Cause: the composition of the programs, a lost leader and a suspended replica were tested only by parts. Change: the test site can ask for the contract of the halls.

--- a/standin/site.py
+++ b/standin/site.py
@@ -81,6 +81,8 @@
         Seed by which minions crash, leave and start again. Default: they do not.
     `has_accounts`
         Whether calls need the key of a client account. Default: False.
+    `has_places`
+        Whether operators may cordon halls. Default: False.
     `down`
         Addresses of the processes that are not running: killed by this object,
         or found to have ended.
@@ -99,9 +101,11 @@
         is_journaled=False,
         restart_seed=None,
         has_accounts=False,
+        has_places=False,
     ):
         self.is_journaled = is_journaled
         self.has_accounts = has_accounts
+        self.has_places = has_places
         self.down = set()
         self.stopping = set()
         self.ended = []
@@ -158,7 +162,8 @@
             "fault_tolerance": {"machines": (len(self.control_ips) - 1) // 2},
             "bounds": {"hold_max_ms": 3000, "grace_s": 3},
             "heartbeat_ms": 500,
-            "contracts": ["tenants"] if self.has_accounts else [],
+            "contracts": ["tenants"] * self.has_accounts + ["places"] * self.has_places,
+            "zones": {"hall-a": "region", "hall-b": "region"},
         }
         (self.folder / f"{ip}.yaml").write_text(yaml.safe_dump(settings))
 
