--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -103,8 +103,16 @@
             self.roster.clear()
 
     def current_admission(self):
-        """Return the `Admission` of the current session, or None without one."""
-        return self.session.admission if self.session is not None else None
+        """Return the `Admission` of the current session.
+
+        None without a session, and in a deployment that asks for no refusals: it has
+        neither rates of accounts nor limits for overload.
+        """
+        session = self.session
+        if session is None:
+            return None
+        is_wanted = session.terms.has_pressure or session.table.has_accounts
+        return session.admission if is_wanted else None
 
     def note_heartbeat(self, minion_id, clock_ms, cold_ms=None):
         """Pass a heartbeat on to the current session, if there is one."""
--- a/tests/test_admission_session.py
+++ b/tests/test_admission_session.py
@@ -66,3 +66,14 @@
     fill(harness)
     harness.dispatcher.session = None
     harness.service.answer(question(BACKLOG_JOBS))
+
+
+# Guards against refusals, and their cost, in a deployment that asks for none: without
+# rates of accounts and without limits for overload.
+def test_a_deployment_that_asks_for_no_refusals_has_none(harness):
+    fill(harness)
+    session = harness.dispatcher.session
+    session.terms = replace(session.terms, has_pressure=False)
+    assert harness.dispatcher.current_admission() is None
+    harness.service.answer(question(BACKLOG_JOBS))
+    assert session.admission.backlog_by_pool == {}
