Split the consensus core by responsibility

Cause: control/consensus.py had 846 lines with elections, replication, the follower's part, reads and changes of the members in one class.

Change: Consensus keeps its state, the events and the log. Its other parts are in election.py, leadership.py, replication.py, following.py, reads.py and reconfiguration.py. Progress is in progress.py and now has the methods that change only one follower's state. The planted faults name the new files; their texts are unchanged.

Weighed: plain classes for all parts. The parts share the term, the log, the role, the members and the list of actions, and tests and the driver read and set them on Consensus, so the parts are mixin classes; each names what it changes.

--- a/standin/faults.py
+++ b/standin/faults.py
@@ -51,7 +51,7 @@
 #: Edit that disables the quorum check, so that a disconnected leader does not step
 #: down. With the check, a test shows the fault only if it is faster than the check.
 WITHOUT_QUORUM_CHECK = (
-    "control/consensus.py",
+    "control/leadership.py",
     "        if not self.is_quorum([self.identity, *active]):",
     "        if False:",
 )
@@ -220,7 +220,7 @@
         "the leader commits without a quorum and does not step down",
         (
             (
-                "control/consensus.py",
+                "control/replication.py",
                 "index = matches[len(matches) // 2]",
                 "index = matches[0]",
             ),
@@ -245,7 +245,7 @@
         "a leader serves reads without a quorum and does not step down",
         (
             (
-                "control/consensus.py",
+                "control/reads.py",
                 "            if self.is_quorum([self.identity, *confirmed]):\n"
                 "                ready.append(read)",
                 "            ready.append(read)",
@@ -308,7 +308,7 @@
         "a leader counts itself for entries that its own disk lacks",
         (
             (
-                "control/consensus.py",
+                "control/replication.py",
                 "                self.durable_index\n",
                 "                self.log.last_index\n",
             ),
@@ -525,7 +525,7 @@
         "no heartbeats are sent during a snapshot transfer",
         (
             (
-                "control/consensus.py",
+                "control/replication.py",
                 "self.send_round(identity, self.log.start_index, self.log.start_term)",
                 "pass",
             ),
@@ -676,7 +676,7 @@
         "a replica that cannot serve never passes on entries that others lack",
         (
             (
-                "control/consensus.py",
+                "control/election.py",
                 "self.missed_elections < CARETAKER_ELECTIONS:",
                 "True:",
             ),
