Split the replica by responsibility

All methods are unchanged.

Weighed: plain classes. Tests and other modules read and set the queues, the state and the applied index on Replica, so the parts are mixin classes. Applying and the life cycle stay in one module because tests replace apply and the constants of both there by name; all tests stay as they are.

--- a/hingepitch/control/replica.py
+++ b/hingepitch/control/replica.py
@@ -2,66 +2,45 @@
 hingepitch.control.replica
 ~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-The driver of one replica: feeds events to the consensus core, executes its
-actions, and applies the committed entries to the state.
+The driver of one replica: opens its data folder, runs the consensus core until a
+fault and recovers from it, and applies the committed entries to the state.
 
 :copyright: Copyright 2026 by the hingepitch maintainers.
 :license: BSD, see LICENSE for details.
 """
 
 from collections import deque
-from dataclasses import replace
 
 import gevent
-from gevent.event import AsyncResult, Event
+from gevent.event import Event
 
-from hingepitch.clock import lease_seconds, wall_seconds
-from hingepitch.control.admission import Admission, PendingCommand
+from hingepitch.clock import lease_seconds
+from hingepitch.control.admission import Admission
 from hingepitch.control.audit import AuditRecord
 from hingepitch.control.consensus import Consensus
-from hingepitch.control.membership import encode_members
+from hingepitch.control.execution import BATCH_SECONDS, ActionExecution
 from hingepitch.control.message import (
-    Append,
-    Commit,
-    Durable,
-    Entry,
     EntryKind,
-    Install,
     MayLead,
-    Message,
-    MessageKind,
-    Propose,
-    Proposed,
-    ProposeMembers,
-    ReadReady,
-    ReadRequest,
     Receive,
     Recovered,
-    Refuse,
-    RoleChanged,
-    SaveVote,
-    Send,
-    SendSnapshot,
-    SnapshotLost,
     Tick,
     TransferLeadership,
 )
-from hingepitch.control.snapshot import Snapshot
+from hingepitch.control.pending import PendingRequests
+from hingepitch.control.transfer import SnapshotTransfer
 from hingepitch.control.writer import LogWriter
 from hingepitch.error import HingepitchError
 from hingepitch.log import log_event, source_location
 from hingepitch.model.apply import apply, is_resend, object_of
-from hingepitch.model.codec import decode_envelope, encode_envelope, to_plain
+from hingepitch.model.codec import decode_envelope, to_plain
 from hingepitch.model.command import Role
 from hingepitch.model.state import State
 
 __all__ = ["Replica", "is_snapshot_due"]
 
 TICK_SECONDS = 0.1
-MAX_PROPOSALS_IN_STEP = 512
-PROPOSE_SECONDS = 4.0
 PAUSE_AFTER_FAULT_SECONDS = 1.0
-READ_SECONDS = 2.0
 
 #: Value of `Replica.read_fault` until the data folder is open.
 NOT_OPEN = "the data folder is not open yet"
@@ -70,10 +49,6 @@
 #: its data folder, in seconds: longer than the 6 s from SIGTERM to SIGKILL.
 LOCK_WAIT_SECONDS = 10.0
 
-#: How long commands may be collected into one batch while the leader's disk is
-#: writing, in seconds. A sync takes 4 to 9 ms.
-BATCH_SECONDS = 0.01
-
 #: Minimum and maximum number of entries applied between two snapshots, and the
 #: number of entries before a snapshot that stay in memory. The maximum bounds
 #: the start: a replica replays about 7,000 entries a second, and a new leader
@@ -97,14 +72,7 @@
     return log_bytes >= snapshot_bytes or entries >= MAX_SNAPSHOT_ENTRIES
 
 
-def requires_sync(action):
-    """Whether an action must be durable before the next one is executed."""
-    if isinstance(action, Append):
-        return not action.is_async
-    return isinstance(action, SaveVote | Install)
-
-
-class Replica:
+class Replica(ActionExecution, PendingRequests, SnapshotTransfer):
     """One replica of the control group.
 
     `storage`, `audit`, `links`, `roster`
@@ -191,24 +159,6 @@
         self.storage = self.storage.unopened_copy()
         self.audit = self.audit.unopened_copy()
 
-    def load_snapshot(self, snapshot):
-        """Load the state of `snapshot`; an unreadable snapshot stays on the disk."""
-        self.read_fault = ""
-        self.state = State()
-        self.applied_index = snapshot.index
-        self.applied_term = snapshot.term
-        try:
-            if snapshot.state:
-                self.state = State.from_snapshot(snapshot.state)
-            self.put(MayLead(True))
-        except HingepitchError as error:
-            self.stop_applying(f"state at {snapshot.index}", error)
-        except Exception as error:
-            # A fault in this version's code. The log and the vote are intact, so
-            # the replica can go on storing entries and voting.
-            self.stop_applying(f"state at {snapshot.index}", repr(error))
-        self.wake_waiters()
-
     def run(self):
         """Handle events until killed.
 
@@ -296,247 +246,10 @@
         """
         return self.core.serves
 
-    def leader_address(self):
-        """Return the address of the leader, or raise `no_leader`."""
-        address = self.address_of(self.core.leader) if self.core.leader else None
-        if address is None:
-            raise HingepitchError("no_leader", "", retry_after_ms=1000)
-        return address
-
-    def propose(self, envelope):
-        """Append a command to the log; return its `Outcome` once it is applied.
-
-        Raises `HingepitchError`: `not_leader`, `queue_full`,
-        `storage_failed`, or `lost_leadership` when the outcome is unknown.
-        """
-        self.check_storage()
-        if not self.is_leader:
-            raise HingepitchError("not_leader", retry_after_ms=200)
-        stamped = replace(envelope, at_seconds=wall_seconds())
-        result = AsyncResult()
-        lane = envelope.partner or envelope.role.value
-        self.admission.put(lane, PendingCommand(encode_envelope(stamped), result))
-        self.wakeup.set()
-        return self.wait_for(result, PROPOSE_SECONDS)
-
-    def change_members(self, members):
-        """Change the members; return once the change is committed."""
-        result = AsyncResult()
-        self.put(ProposeMembers(members, result))
-        return self.wait_for(result, PROPOSE_SECONDS)
-
-    def confirm_leadership(self):
-        """Confirm the leadership for a linearizable read; return its index.
-
-        Returns once a quorum has confirmed that this replica leads and the
-        index is applied, so `state` has every change acknowledged before the
-        call. Raises `HingepitchError`: `not_leader`, `storage_failed`, or
-        `lost_leadership` on timeout or while an entry cannot be read.
-        """
-        self.check_storage()
-        if not self.is_open:
-            raise HingepitchError("not_leader", retry_after_ms=200)
-        result = AsyncResult()
-        self.reads_waiting.append(result)
-        self.wakeup.set()
-        index = self.wait_for(result, READ_SECONDS)
-        self.wait_applied(index, READ_SECONDS)
-        return index
-
-    def check_storage(self):
-        """Raise `storage_failed` while the data folder cannot be written."""
-        if self.storage_fault:
-            raise self.storage_error()
-
-    def storage_error(self):
-        """Return the error for requests while the data folder cannot be written."""
-        detail = self.storage_fault
-        return HingepitchError("storage_failed", detail, retry_after_ms=1000)
-
-    def check_read(self):
-        """Raise `lost_leadership` while an entry or the state cannot be read.
-
-        That code tells the caller to ask another replica.
-        """
-        if self.read_fault:
-            raise HingepitchError(
-                "lost_leadership", self.read_fault, retry_after_ms=1000
-            )
-
-    def wait_for(self, result, seconds):
-        """Return the value of `result`; raise `lost_leadership` on timeout."""
-        try:
-            return result.get(timeout=seconds)
-        except gevent.Timeout:
-            raise HingepitchError(
-                "lost_leadership", "no quorum before timeout"
-            ) from None
-
-    def wait_applied(self, index, seconds):
-        """Return once `index` is applied; raise `lost_leadership` on timeout."""
-        deadline = lease_seconds() + seconds
-        self.check_read()
-        while self.applied_index < index:
-            if not self.wait_for_change(deadline - lease_seconds()):
-                raise HingepitchError("lost_leadership", "not applied before timeout")
-            self.check_read()
-
-    def wait_for_change(self, seconds):
-        """Wait for a change of the state; return False on timeout."""
-        return seconds > 0 and self.changed.wait(seconds)
-
-    def wake_waiters(self):
-        """Wake all greenlets that wait for a change of the state."""
-        self.changed.set()
-        self.changed = Event()
-
     def transfer_leadership(self):
         """Transfer the leadership to another replica, for a planned stop."""
         self.put(TransferLeadership())
 
-    def handle_events(self):
-        """Step the core with all queued events, then execute all its actions."""
-        actions = []
-        while self.inbox:
-            event = self.inbox.popleft()
-            actions += self.core.step(event)
-        waiting = self.take_proposals()
-        if waiting:
-            payloads = [command.payload for command in waiting]
-            results = [command.result for command in waiting]
-            actions += self.core.step(Propose(payloads, results))
-            self.wakeup.set()
-        if self.reads_waiting:
-            reads, self.reads_waiting = self.reads_waiting, []
-            actions += self.core.step(ReadRequest(reads))
-        self.execute_actions(actions)
-        self.snapshot_if_due()
-
-    def take_proposals(self):
-        """Return the next batch of commands to propose; empty to wait for more.
-
-        While the disk is writing, commands are collected into one batch,
-        because each batch costs a message to every other replica. The wait is
-        at most `BATCH_SECONDS`, so a slow disk does not delay commands.
-        """
-        now = lease_seconds()
-        if self.writer.is_behind and now - self.proposed_at < BATCH_SECONDS:
-            return []
-        waiting = self.admission.take(MAX_PROPOSALS_IN_STEP)
-        if waiting:
-            self.proposed_at = now
-        return waiting
-
-    def execute_actions(self, actions):
-        """Make votes and entries durable, then execute the rest in order."""
-        self.make_durable(actions)
-        for action in actions:
-            self.execute_action(action)
-
-    def make_durable(self, actions):
-        """Write the votes and entries of `actions` in one sync.
-
-        If there are only a leader's own entries to write, they are written
-        concurrently with the other actions.
-        """
-        if self.core.role == "leader" and not any(map(requires_sync, actions)):
-            for action in actions:
-                if isinstance(action, Append):
-                    self.writer.write_later(action.entries)
-            return
-        self.write_in_order(actions)
-
-    def write_in_order(self, actions):
-        """Write the votes and entries of `actions`, after all earlier ones."""
-        vote = None
-        entries = []
-        for action in actions:
-            if isinstance(action, SaveVote):
-                vote = (action.term, action.voted_for)
-            elif isinstance(action, Append):
-                entries += action.entries
-            elif isinstance(action, Install):
-                self.writer.write(vote, entries)
-                vote, entries = None, []
-                self.install(action)
-        self.writer.write(vote, entries)
-        for action in actions:
-            if isinstance(action, Append) and action.is_async:
-                last = action.entries[-1]
-                self.put(Durable(last.index, last.term))
-
-    def execute_action(self, action):
-        """Execute one action; ignore the kinds that `make_durable` handles."""
-        if isinstance(action, Send):
-            self.send(action.message)
-        elif isinstance(action, SendSnapshot):
-            self.send_snapshot(action)
-        elif isinstance(action, Commit):
-            self.apply_up_to(action.index)
-        elif isinstance(action, Proposed):
-            self.register_waiter(action)
-        elif isinstance(action, ReadReady):
-            for result in action.token:
-                result.set(action.index)
-        elif isinstance(action, Refuse):
-            self.refuse(action)
-        elif isinstance(action, RoleChanged):
-            self.on_role_changed(action)
-
-    def send(self, message):
-        """Send a message to another replica, if its address is known."""
-        address = self.address_of(message.receiver)
-        if address is not None:
-            self.links.send(address, message)
-
-    def on_message_lost(self, message):
-        """Tell the core that a snapshot did not arrive, so it is sent again.
-
-        Otherwise the core would wait 5 s for its acknowledgement, and a group
-        that needs the receiver for its quorum would be stalled until then.
-        """
-        if message.kind is MessageKind.SNAPSHOT:
-            self.put(SnapshotLost(message.receiver, message.term))
-
-    def register_waiter(self, action):
-        """Record the request that waits until an entry is applied."""
-        self.waiter_by_index[action.index] = (action.term, action.token)
-
-    def refuse(self, action):
-        """Raise the error of a refused request in its waiters."""
-        tokens = action.token if isinstance(action.token, list) else [action.token]
-        for result in tokens:
-            result.set_exception(HingepitchError(action.code, retry_after_ms=200))
-
-    def on_role_changed(self, action):
-        """Log a change of role; a new leader takes over the leases."""
-        log_event(
-            "role_changed", role=action.role, leader=action.leader, term=action.term
-        )
-        if action.role == "leader":
-            self.roster.take_over(lease_seconds())
-
-    def fail_waiters(self, code):
-        """Raise `lost_leadership` in all waiters for entries: outcome unknown.
-
-        `code`
-            Detail of the error.
-        """
-        for _, result in self.waiter_by_index.values():
-            result.set_exception(HingepitchError("lost_leadership", code))
-        self.waiter_by_index.clear()
-
-    def refuse_queued(self):
-        """Refuse the reads and the commands that are not in the log yet.
-
-        Otherwise they would wait for their timeout (4 s) without a chance of success.
-        """
-        waiting = self.admission.take(self.admission.size)
-        results = [command.result for command in waiting]
-        reads, self.reads_waiting = self.reads_waiting, []
-        for result in results + reads:
-            result.set_exception(self.storage_error())
-
     def apply_up_to(self, index):
         """Apply the committed entries up to `index`; stop at an unreadable entry.
 
@@ -636,48 +349,6 @@
         self.core.compact(self.applied_index - ENTRIES_KEPT_BEHIND_SNAPSHOT)
         log_event("snapshot_written", index=self.applied_index)
 
-    def make_snapshot(self):
-        """Return the current state as a `Snapshot`."""
-        return Snapshot(
-            index=self.applied_index,
-            term=self.applied_term,
-            members=self.core.members_at(self.applied_index),
-            state=self.state.to_snapshot(),
-        )
-
-    def send_snapshot(self, action):
-        """Send the current state to a follower that needs a snapshot."""
-        if self.read_fault:
-            return
-        snapshot = self.make_snapshot()
-        members = Entry(
-            snapshot.index,
-            snapshot.term,
-            EntryKind.MEMBERS,
-            encode_members(snapshot.members),
-        )
-        self.send(
-            Message(
-                MessageKind.SNAPSHOT,
-                self.core.identity,
-                action.receiver,
-                action.term,
-                index=snapshot.index,
-                log_term=snapshot.term,
-                entries=(members,),
-                snapshot=snapshot.state,
-            )
-        )
-
-    def install(self, action):
-        """Store and load a snapshot that the leader sent."""
-        snapshot = Snapshot(action.index, action.term, action.members, action.snapshot)
-        self.audit.record_missing_up_to(action.index)
-        snapshot.trail = self.audit.sync()
-        self.storage.save_snapshot(snapshot)
-        self.load_snapshot(snapshot)
-        log_event("snapshot_installed", index=action.index)
-
     def receive(self, message):
         """Queue a message from another replica, if the data folder is open."""
         if self.is_open:
