--- a/tests/overload_simulation.py
+++ b/tests/overload_simulation.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from types import SimpleNamespace
 
-from adapter.wire import decode_config
+from adapter.configwire import decode_config
 from hingepitch.error import HingepitchError
 from hingepitch.jobs import admission as admissions, command as commands
 from hingepitch.jobs.account import digest_key
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings, strategies as st
 from loguru import logger
 
-from adapter.wire import decode_config
+from adapter.configwire import decode_config
 from hingepitch.error import HingepitchError
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.account import digest_key
--- a/tests/test_load_heavy_account.py
+++ b/tests/test_load_heavy_account.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from adapter.wire import decode_config
+from adapter.configwire import decode_config
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.account import digest_key
 from hingepitch.jobs.command import RunEnd
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,7 +6,7 @@
 import falcon.testing
 import pytest
 
-from adapter.wire import decode_config
+from adapter.configwire import decode_config
 from hingepitch.control.operator import Authenticator, OperatorApi
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.account import digest_key
