Withdraw an evacuation for a cordon once, and only that one

Cause: a run stayed among the drained ones after its evacuation had been withdrawn for the budget. Once the hall was uncordoned, a stop for another reason (its job was cancelled, its state became unknown) was then taken for the one to withdraw again, which raised KeyError in an agent and ended the session. Without a cordon, runs that had ended were never forgotten.

Change: an evacuation is withdrawn with the cordon only if the job is open and the run is evacuated for maintenance; the entry goes with the evacuation, and ended runs are forgotten in each pass.

Weighed: to keep the entry until the run ends; a wave could then never stop it.

--- a/hingepitch/jobs/halldrain.py
+++ b/hingepitch/jobs/halldrain.py
@@ -26,8 +26,7 @@
     `session`
         The `Session` of the leadership.
     `drained`
-        Task and number of each run that was evacuated because of a cordon and is
-        still recorded.
+        Task and number of each run that is evacuated because of a cordon.
     """
 
     def __init__(self, session):
@@ -37,12 +36,12 @@
 
     def run_pass(self):
         """Evacuate the long-running tasks of cordoned halls that may move now."""
+        self.forget_ended_runs()
         table = self.session.table
         now = lease_seconds()
         if not table.cordons.cordon_by_hall or now - self.passed_at < PASS_SECONDS:
             return
         self.passed_at = now
-        self.forget_ended_runs()
         runs = list(self.runs_to_move())
         if not runs:
             return
@@ -62,14 +61,12 @@
                 self.session.watch.evacuate(run, UPKEEP_REASON)
 
     def forget_ended_runs(self):
-        """Delete the runs that are no longer recorded or whose stop was withdrawn."""
+        """Delete the runs that are no longer recorded."""
         recorded = self.session.table.run_by_task
         self.drained = {
             (task, number)
             for task, number in self.drained
-            if task in recorded
-            and recorded[task].number == number
-            and (task, number) in self.session.watch.evacuated
+            if task in recorded and recorded[task].number == number
         }
 
     def runs_to_move(self):
@@ -108,23 +105,27 @@
             if step and step.lasts:
                 yield task[:3], step, 1
 
-    def withdraw(self, run):
-        """Forget a run whose hall was uncordoned in time; return whether it was.
+    def is_withdrawn(self, run):
+        """Whether a run was to leave only because of a cordon that is over.
 
-        False once a stop was sent, since it may still be carried out. The run may
-        leave later for another reason.
+        False if its job has ended, and once a stop was sent, since it may still be
+        carried out.
         """
-        if (run.task, run.number) not in self.drained:
+        key = run.task, run.number
+        if self.session.step_of(run) is None or key not in self.drained:
+            return False
+        if self.session.watch.evacuated.get(key) != UPKEEP_REASON:
             return False
         minion = self.session.table.minion_by_id.get(run.minion)
         if minion is None or minion.hall in self.session.table.cordons:
             return False
         agent = self.session.agent_by_minion.get(run.minion)
         view = agent and agent.view_by_task.get(run.task)
-        if view is None or view.is_stop_sent:
-            return False
+        return view is not None and not view.is_stop_sent
+
+    def note_withdrawal(self, run):
+        """Note that the evacuation of a run was withdrawn."""
         self.drained.discard((run.task, run.number))
-        return True
 
 
 def reserve(work, key, step, count):
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -104,7 +104,7 @@
         while the stop waited for its turn, for a confirmation of the leadership or
         for an answer. A stop that is no longer needed exceeds any budget.
         """
-        if self.session.hall_drain.withdraw(run):
+        if self.session.hall_drain.is_withdrawn(run):
             return True
         step = self.session.step_of(run)
         if self.evacuated.get((run.task, run.number)) != UPKEEP_REASON or step is None:
@@ -113,7 +113,9 @@
 
     def withdraw_evacuation(self, run):
         """Withdraw an evacuation for maintenance; it may be decided again later."""
-        del self.evacuated[run.task, run.number]
+        self.session.hall_drain.note_withdrawal(run)
+        if self.evacuated.pop((run.task, run.number), None) is None:
+            return
         log_event(
             "evacuation_taken_back",
             job=run.task.job,
--- a/standin/hall_faults.py
+++ b/standin/hall_faults.py
@@ -73,7 +73,7 @@
         (
             (
                 "jobs/watch.py",
-                "if self.session.hall_drain.withdraw(run):",
+                "if self.session.hall_drain.is_withdrawn(run):",
                 "if False:",
             ),
         ),
--- a/tests/test_hall_drain.py
+++ b/tests/test_hall_drain.py
@@ -177,9 +177,7 @@
             table=self.table,
             agent_by_minion=agents,
             runs_of=lambda life: self.table.runs_by_minion.get(life, {}),
-            step_of=lambda run: self.table.job_by_id[run.task.job].spec.steps[
-                run.task.step
-            ],
+            step_of=self.step_of,
             planner=SimpleNamespace(usable_minions=self.usable_minions),
         )
         self.watch = session.watch = RunWatch(session)
@@ -189,6 +187,10 @@
         )
         self.drain = session.hall_drain = HallDrain(session)
 
+    def step_of(self, run):
+        job = self.table.job_by_id[run.task.job]
+        return job.spec.steps[run.task.step] if job.is_open else None
+
     @staticmethod
     def agent(life):
         wake = SimpleNamespace(set=lambda: None)
@@ -333,3 +335,54 @@
     log.watch.withdraw_evacuation(run)
     log.watch.evacuate(run, UPKEEP_REASON)
     assert not log.watch.exceeds_budget(run)
+
+
+@pytest.fixture
+def evacuated():
+    """A `RoomLog` and its only run, which is evacuated; its stop was not sent."""
+    log = RoomLog()
+    log.place("i-0", max_away=1)
+    cordon(log, "h0")
+    assert log.evacuated() == [0]
+    run = log.table.run_by_task[task()]
+    view = RunView(run, RunViewStatus.RUNNING)
+    log.drain.session.agent_by_minion["i-0"].view_by_task[task()] = view
+    return log, run
+
+
+# Guards against the end of the session when a job is cancelled after an evacuation of
+# its run was withdrawn for the budget and the hall was uncordoned.
+def test_an_evacuation_that_was_withdrawn_is_not_withdrawn_again(evacuated):
+    log, run = evacuated
+    log.is_within_budget = False
+    assert log.watch.exceeds_budget(run)
+    log.watch.withdraw_evacuation(run)
+    assert not log.drain.drained
+    cordon(log, "h0", is_cordoned=False)
+    log.send(commands.CancelJob(JOB, 0))
+    assert not log.watch.exceeds_budget(run)
+    log.watch.withdraw_evacuation(run)
+
+
+# Guards against a run of a cancelled job that goes on, since its stop passes for one
+# that only its cordon asked for; and against a run that another reason has leave.
+@pytest.mark.parametrize("is_cancelled", [True, False])
+def test_only_the_evacuation_for_the_cordon_is_withdrawn_with_it(
+    evacuated, is_cancelled
+):
+    log, run = evacuated
+    cordon(log, "h0", is_cordoned=False)
+    if is_cancelled:
+        log.send(commands.CancelJob(JOB, 0))
+    else:
+        log.watch.evacuate(run, "the minion is draining")
+    assert not log.watch.exceeds_budget(run)
+
+
+# Guards against entries of ended runs that stay while no hall is cordoned.
+def test_ended_runs_are_forgotten_without_a_cordon(evacuated):
+    log, run = evacuated
+    cordon(log, "h0", is_cordoned=False)
+    log.end(run.task)
+    log.drain.run_pass()
+    assert not log.drain.drained
