Place the tasks that leave a cordoned hall by the planner's own rules

Cause: the drain reserved room by rules of its own. A gang that did not fit kept the room of the tasks before the one that did not; tasks that wait for their quota, for a permission or for the rest of their gang kept room that they could not use, so that a hall never drained; a task of an account above its lowered quota was stopped and could not start again.

Change: room is reserved by place_step and place_tasks, with the context of a planning pass, as if the run that leaves had ended; a gang counts once and as a whole, and releases its room if it does not fit. Tasks that need a permission and those suspected of crashes stay where they are.

Weighed: to ask for permissions before a task leaves; that would need requests for steps that do not wait. A task at its quota with others of its account waiting still leaves: they may start before it.

--- a/hingepitch/jobs/halldrain.py
+++ b/hingepitch/jobs/halldrain.py
@@ -9,9 +9,9 @@
 :license: BSD, see LICENSE for details.
 """
 
-from hingepitch.clock import lease_seconds, wall_ms
-from hingepitch.jobs.plan import PlanContext, PlanningPass, best_minion
-from hingepitch.jobs.record import TaskStatus
+from hingepitch.clock import lease_seconds
+from hingepitch.jobs.plan import PlanningPass, place_step, place_tasks
+from hingepitch.jobs.spec import TaskKey
 from hingepitch.jobs.watch import UPKEEP_REASON
 
 __all__ = ["HallDrain"]
@@ -45,18 +45,23 @@
         runs = list(self.runs_to_move())
         if not runs:
             return
-        usable = self.session.planner.usable_minions(now)
-        work = PlanningPass(table, PlanContext(wall_ms(), usable))
-        for key, step, count in self.owed_room():
-            reserve(work, key, step, count)
+        plan_context = self.session.planner.plan_context()
+        # These start again soon and need their room then.
+        plan_context.paused = set()
+        work = PlanningPass(table, plan_context)
+        leaving_gangs = self.reserve_owed_room(work)
         for run, step in runs:
+            key = run.task[:3]
+            if key in leaving_gangs:
+                continue
             if not self.session.watch.is_within_budget(run, step):
                 continue
             # Each log line of an evacuation lets other greenlets run.
             if table.run_by_task.get(run.task) is not run:
                 continue
-            # The tasks of a gang can only be started again together.
-            if reserve(work, run.task[:3], step, step.count if step.gang else 1):
+            if place_again(work, run.task, step):
+                if step.gang:
+                    leaving_gangs.add(key)
                 self.drained.add((run.task, run.number))
                 self.session.watch.evacuate(run, UPKEEP_REASON)
 
@@ -73,7 +78,8 @@
         """Yield each run of a long-running task in a cordoned hall, with its step.
 
         Runs that are being stopped are left out, and those on minions that do not
-        respond: a stop would not arrive there.
+        respond: a stop would not arrive there. So are those whose start elsewhere
+        depends on more than room.
         """
         table = self.session.table
         agents = self.session.agent_by_minion
@@ -83,27 +89,47 @@
                 continue
             for run in list(self.session.runs_of(minion.id).values()):
                 step = self.session.step_of(run)
-                if step and step.lasts and self.session.is_wanted(run):
+                if not step or not step.lasts or not self.session.is_wanted(run):
+                    continue
+                if self.may_start_anywhere(run.task, step):
                     yield run, step
 
-    def owed_room(self):
-        """Yield the key, the step and the number of tasks that need room before others.
+    def may_start_anywhere(self, task, step):
+        """Whether a task, and the gang of it, may start on any minion with room.
+
+        Permissions are requested for waiting tasks only, and few minions may run a
+        task that is suspected of crashes.
+        """
+        table = self.session.table
+        if table.current_queue(table.job_by_id[task.job]).advice is not None:
+            return False
+        return not any(map(table.crashes.suspicion, gang_of(task, step)))
+
+    def reserve_owed_room(self, work):
+        """Reserve the room of tasks that come first; return the gangs among those.
 
-        These are long-running tasks that wait, and those that are being evacuated.
+        These are long-running tasks that wait and could start, and those that are
+        being evacuated. The gangs are those that are not complete, by step.
         """
         table = self.session.table
+        leaving_gangs = set()
         for key in table.ready_steps:
             job = table.job_by_id[key[0]]
             step = job.spec.steps[key[2]]
-            if step.lasts:
-                tasks = job.round_by_number[key[1]].tasks_by_step[key[2]]
-                waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
-                yield key, step, waiting
+            if step.lasts and step.gang:
+                leaving_gangs.add(key)
+                place_again(work, TaskKey(*key, 0), step)
+            elif step.lasts:
+                list(place_step(work, job, key))
         for task, number in self.session.watch.evacuated:
             run = table.run_by_task.get(task)
             step = run and run.number == number and self.session.step_of(run)
-            if step and step.lasts:
-                yield task[:3], step, 1
+            if not step or not step.lasts or task[:3] in leaving_gangs:
+                continue
+            if step.gang:
+                leaving_gangs.add(task[:3])
+            place_again(work, task, step)
+        return leaving_gangs
 
     def is_withdrawn(self, run):
         """Whether a run was to leave only because of a cordon that is over.
@@ -128,21 +154,31 @@
         self.drained.discard((run.task, run.number))
 
 
-def reserve(work, key, step, count):
-    """Reserve room for `count` tasks of a step; return whether all of them have it.
+def gang_of(task, step):
+    """Return the tasks of the gang of `task`, or just the task itself."""
+    if not step.gang:
+        return [task]
+    return [task._replace(index=index) for index in range(step.count)]
+
 
-    A step needs no permission for this, since permissions are requested for waiting
-    tasks only.
+def place_again(work, task, step):
+    """Reserve room for a task, or its gang, as if its run had ended.
+
+    Returns whether there is room for it by the rules of the planner. Otherwise
+    nothing is reserved.
     """
-    pool = work.table.current_queue(work.table.job_by_id[key[0]]).pool
-    candidates = [
-        minion
-        for minion in work.minions(pool)
-        if not step.required_label or step.required_label in minion.labels
-    ]
-    for _ in range(count):
-        minion = best_minion(work, key, step, candidates)
-        if minion is None:
-            return False
-        work.reserve(key, step, minion)
-    return True
+    key = task[:3]
+    job = work.table.job_by_id[task.job]
+    tasks = gang_of(task, step)
+    runs = [one for one in map(work.table.run_by_task.get, tasks) if one is not None]
+    usage = work.account_usage(job.account)
+    for run in runs:
+        usage.add(run, -1)
+    starts = list(place_tasks(work, job, key, [one.index for one in tasks]))
+    if len(starts) == len(tasks):
+        return True
+    for start in starts:
+        work.release(key, step, work.table.minion_by_id[start.minion])
+    for run in runs:
+        usage.add(run)
+    return False
--- a/standin/hall_faults.py
+++ b/standin/hall_faults.py
@@ -49,8 +49,8 @@
         (
             (
                 "jobs/halldrain.py",
-                "for key, step, count in self.owed_room():",
-                "for key, step, count in ():",
+                "leaving_gangs = self.reserve_owed_room(work)",
+                "leaving_gangs = set()",
             ),
         ),
         "no_more_tasks_leave_than_there_is_room_for",
--- a/tests/test_hall_drain.py
+++ b/tests/test_hall_drain.py
@@ -1,19 +1,17 @@
 """Long-running tasks leave a cordoned hall one by one, only for room elsewhere."""
 
-from types import SimpleNamespace
-
 import pytest
 
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.explain import explain_queued_job
-from hingepitch.jobs.halldrain import HallDrain
 from hingepitch.jobs.record import JobStatus
 from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.jobs.spec import Step
-from hingepitch.jobs.watch import UPKEEP_REASON, RunWatch
+from hingepitch.jobs.watch import UPKEEP_REASON
 from standin.taskminion import TaskMinion
-from tests.test_cordoned_pools import HallLog, cordon
+from tests.room_log import RoomLog
+from tests.test_cordoned_pools import cordon
 from tests.test_dispatch import SECONDS, DispatchHarness
 from tests.test_job_rules import JOB, make_minion, task
 from tests.test_upkeep import Platform, begin_wave
@@ -163,58 +161,6 @@
     assert not harness.running(cordoned)
 
 
-class RoomLog(HallLog):
-    """Records long-running tasks on the minions of two halls, and drains `h0`.
-
-    Each minion has room for two tasks of 2,000 millicores.
-    """
-
-    def __init__(self):
-        super().__init__()
-        self.is_within_budget = True
-        agents = {life: self.agent(life) for life in self.table.minion_by_id}
-        session = SimpleNamespace(
-            table=self.table,
-            agent_by_minion=agents,
-            runs_of=lambda life: self.table.runs_by_minion.get(life, {}),
-            step_of=self.step_of,
-            planner=SimpleNamespace(usable_minions=self.usable_minions),
-        )
-        self.watch = session.watch = RunWatch(session)
-        self.watch.is_within_budget = lambda run, step: self.is_within_budget
-        session.is_wanted = lambda run: (
-            (run.task, run.number) not in self.watch.evacuated
-        )
-        self.drain = session.hall_drain = HallDrain(session)
-
-    def step_of(self, run):
-        job = self.table.job_by_id[run.task.job]
-        return job.spec.steps[run.task.step] if job.is_open else None
-
-    @staticmethod
-    def agent(life):
-        wake = SimpleNamespace(set=lambda: None)
-        return SimpleNamespace(is_unresponsive=False, wake=wake, view_by_task={})
-
-    def usable_minions(self, now):
-        minions = self.table.minion_by_id.values()
-        return {one.id for one in minions if one.hall not in self.table.cordons}
-
-    def place(self, *lives, **fields):
-        """Submit a step of long-running tasks with one on each minion of `lives`."""
-        fields = {"cpu_millicores": 2000, "lasts": True, **fields}
-        self.submit(Step(len(lives), **fields))
-        for index, life in enumerate(lives):
-            assert self.start(task(index=index), minion=life) == [True]
-
-    def evacuated(self):
-        """Make a pass; return the indexes of the tasks that are evacuated."""
-        self.drain.passed_at = 0.0
-        self.drain.run_pass()
-        assert set(self.watch.evacuated.values()) <= {UPKEEP_REASON}
-        return sorted(key.index for key, _ in self.watch.evacuated)
-
-
 # Guards against tasks that are stopped and then wait for a VM, since more of them left
 # than there is room for, in one pass or in several.
 def test_no_more_tasks_leave_than_there_is_room_for():
