Guard the drain of halls against faults and changes during a pass

Cause: an exception in the drain ended the session, and each log line of an evacuation lets other greenlets run: a minion that was removed meanwhile raised KeyError, and room planned before was taken for granted.

Change: a pass chooses the runs without switching greenlets, at most one of a step with a budget, and then checks each once more, with its minions, before it is evacuated.

Weighed: to plan anew after each evacuation, at the cost of a pass over all minions for each of them.

--- a/hingepitch/jobs/halldrain.py
+++ b/hingepitch/jobs/halldrain.py
@@ -45,25 +45,47 @@
         runs = list(self.runs_to_move())
         if not runs:
             return
+        # Each log line of an evacuation lets other greenlets run.
+        for run, step, minions in self.choose(runs):
+            is_recorded = table.run_by_task.get(run.task) is run
+            if is_recorded and self.may_leave(run, step, minions):
+                self.drained.add((run.task, run.number))
+                self.session.watch.evacuate(run, UPKEEP_REASON)
+
+    def choose(self, runs):
+        """Return the runs that may leave now, with their step and the minions chosen.
+
+        At most one run of a step with a disruption budget is among them, and of each
+        gang, whose tasks can only be started again together.
+        """
         plan_context = self.session.planner.plan_context()
         # These start again soon and need their room then.
         plan_context.paused = set()
-        work = PlanningPass(table, plan_context)
-        leaving_gangs = self.reserve_owed_room(work)
+        work = PlanningPass(self.session.table, plan_context)
+        leaving = self.reserve_owed_room(work)
+        chosen = []
         for run, step in runs:
             key = run.task[:3]
-            if key in leaving_gangs:
+            if key in leaving or not self.may_leave(run, step):
                 continue
-            if not self.session.watch.is_within_budget(run, step):
+            minions = place_again(work, run.task, step)
+            if not minions:
                 continue
-            # Each log line of an evacuation lets other greenlets run.
-            if table.run_by_task.get(run.task) is not run:
-                continue
-            if place_again(work, run.task, step):
-                if step.gang:
-                    leaving_gangs.add(key)
-                self.drained.add((run.task, run.number))
-                self.session.watch.evacuate(run, UPKEEP_REASON)
+            chosen.append((run, step, minions))
+            if step.gang or step.max_away is not None:
+                leaving.add(key)
+        return chosen
+
+    def may_leave(self, run, step, minions=()):
+        """Whether a run in a cordoned hall may leave now, for these `minions`."""
+        table = self.session.table
+        return (
+            table.minion_by_id[run.minion].hall in table.cordons
+            and self.session.is_wanted(run)
+            and self.session.watch.is_within_budget(run, step)
+            and all(table.minion_by_id.get(one.id) is one for one in minions)
+            and not any(one.hall in table.cordons for one in minions)
+        )
 
     def forget_ended_runs(self):
         """Delete the runs that are no longer recorded."""
@@ -164,8 +186,8 @@
 def place_again(work, task, step):
     """Reserve room for a task, or its gang, as if its run had ended.
 
-    Returns whether there is room for it by the rules of the planner. Otherwise
-    nothing is reserved.
+    Returns the minions by the rules of the planner. If there is not room for all of
+    the tasks, nothing is reserved, and the list is empty.
     """
     key = task[:3]
     job = work.table.job_by_id[task.job]
@@ -174,11 +196,12 @@
     usage = work.account_usage(job.account)
     for run in runs:
         usage.add(run, -1)
-    starts = list(place_tasks(work, job, key, [one.index for one in tasks]))
-    if len(starts) == len(tasks):
-        return True
-    for start in starts:
-        work.release(key, step, work.table.minion_by_id[start.minion])
+    starts = place_tasks(work, job, key, [one.index for one in tasks])
+    minions = [work.table.minion_by_id[start.minion] for start in starts]
+    if len(minions) == len(tasks):
+        return minions
+    for minion in minions:
+        work.release(key, step, minion)
     for run in runs:
         usage.add(run)
-    return False
+    return []
--- a/standin/hall_faults.py
+++ b/standin/hall_faults.py
@@ -49,8 +49,8 @@
         (
             (
                 "jobs/halldrain.py",
-                "leaving_gangs = self.reserve_owed_room(work)",
-                "leaving_gangs = set()",
+                "leaving = self.reserve_owed_room(work)",
+                "leaving = set()",
             ),
         ),
         "no_more_tasks_leave_than_there_is_room_for",
@@ -61,8 +61,8 @@
         (
             (
                 "jobs/halldrain.py",
-                "if not self.session.watch.is_within_budget(run, step):",
-                "if False:",
+                "and self.session.watch.is_within_budget(run, step)",
+                "and True",
             ),
         ),
         "stays_while_the_budget_of_its_step_is_spent",
--- a/tests/test_hall_drain.py
+++ b/tests/test_hall_drain.py
@@ -123,6 +123,24 @@
     assert not harness.running("h0")
 
 
+# Guards against a fault in the drain of a hall that ends the session, and with it all
+# starts.
+def test_a_drain_that_fails_ends_no_session(harness):
+    session = harness.dispatcher.session
+    calls = []
+
+    def fail():
+        calls.append(0)
+        raise KeyError("a minion that was removed")
+
+    session.hall_drain.run_pass = fail
+    harness.submit(Step(2))
+    assert wait_until(lambda: sum(len(one.starts) for one in harness.minions), SECONDS)
+    assert wait_until(lambda: len(calls) > 3, SECONDS)
+    assert harness.dispatcher.session is session
+    assert not session.is_over
+
+
 class HallPlatform(Platform):
     """The stub of the platform, which brings VMs back in their own halls."""
 
--- a/tests/test_hall_drain_room.py
+++ b/tests/test_hall_drain_room.py
@@ -115,3 +115,23 @@
     log.place("i-0", account="lab")
     cordon(log, "h0")
     assert log.evacuated_tasks() == []
+
+
+# Guards against the end of the pass, or against a task that leaves for a minion that
+# was removed, while the log line of another evacuation let other greenlets run.
+def test_a_minion_that_is_removed_during_a_pass_does_no_harm(log):
+    for number, hall in ((1, "h0"), (8, "h2")):
+        minion = make_minion(number, hall=hall, labels=("z",))
+        log.send(commands.RegisterMinion(minion, 0))
+    log.place("i-0", account="lab", required_label="a")
+    log.place("i-1", job=OTHER_JOB, account="lab", required_label="z")
+    cordon(log, "h0")
+    evacuate = log.watch.evacuate
+
+    def remove(run, reason):
+        evacuate(run, reason)
+        log.table.remove_minion("i-8", 0)
+
+    log.watch.evacuate = remove
+    assert log.evacuated_tasks() == [LEAVING]
+    assert log.evacuated_tasks() == [LEAVING]
