Bound the demand for a task that only a cordoned VM can hold

Cause: a pool in which a task waits for long wants one more VM than it has. If only the VMs of a cordoned hall are large enough for the task, no arrival ends its wait, and the pool took one spare VM after another.

Change: such tasks do not make a pool starve, if it has minions outside cordoned halls; they still count as waiting demand, which is bounded. The test of the pool loads states the new field.

Weighed: to leave these tasks out of the demand; the pool would then shrink below what it needs as soon as the hall is uncordoned.

--- a/hingepitch/jobs/demand.py
+++ b/hingepitch/jobs/demand.py
@@ -117,9 +117,10 @@
         """Whether tasks of a pool have waited for longer than `STARVING_SECONDS`.
 
         This also detects fragmentation: the free capacity may suffice in sum
-        but fit no task on any single minion.
+        but fit no task on any single minion. Tasks that only a minion in a cordoned
+        hall can hold do not count: the pool would want one more with each arrival.
         """
-        if not load.waiting_tasks:
+        if load.waiting_tasks == load.waiting_for_hall:
             self.waiting_since_by_pool.pop(pool, None)
             return False
         since = self.waiting_since_by_pool.setdefault(pool, now)
--- a/hingepitch/jobs/load.py
+++ b/hingepitch/jobs/load.py
@@ -34,6 +34,9 @@
         Requested by the waiting tasks of ready steps, and their number. Tasks that
         the quota of their account holds back do not count, since no further minion
         would help them.
+    `waiting_for_hall`
+        Part of `waiting_tasks` that no minion outside cordoned halls could hold,
+        although the pool has some: they wait until a hall is uncordoned.
     `waiting_late`, `waiting_late_mb`
         Part of `waiting` whose jobs can no longer meet their deadline.
     `spread`
@@ -42,6 +45,8 @@
         The largest CPU, memory and accelerators of any minion, also in cordoned
         halls. Tasks that need more do not count as waiting, since no further minion
         would help them.
+    `largest_usable`
+        The same of the minions outside cordoned halls.
     """
 
     minions: int = 0
@@ -56,18 +61,20 @@
     waiting: int = 0
     waiting_mb: int = 0
     waiting_tasks: int = 0
+    waiting_for_hall: int = 0
     waiting_late: int = 0
     waiting_late_mb: int = 0
     spread: int = 0
     largest: ResourceUsage = field(default_factory=ResourceUsage)
+    largest_usable: ResourceUsage = field(default_factory=ResourceUsage)
 
     def can_hold(self, step):
         """Whether `step` needs no more than the `largest` minion resources."""
-        return (
-            step.counted_millicores <= self.largest.cpu_millicores
-            and step.memory_mb <= self.largest.memory_mb
-            and step.accelerators <= self.largest.accelerators
-        )
+        return is_within(self.largest, step)
+
+    def waits_for_hall(self, step):
+        """Whether a task of `step` can only start on a minion in a cordoned hall."""
+        return bool(self.minions) and not is_within(self.largest_usable, step)
 
 
 def measure_pools(table, now_ms, durations):
@@ -98,13 +105,13 @@
     used = table.usage_by_minion[minion.id]
     load.running += used.cpu_millicores
     load.running_mb += used.memory_mb
-    largest = load.largest
-    largest.cpu_millicores = max(largest.cpu_millicores, minion.cpu_millicores)
-    largest.memory_mb = max(largest.memory_mb, minion.memory_mb)
-    largest.accelerators = max(largest.accelerators, minion.accelerators)
+    is_cordoned = minion.hall in table.cordons
+    raise_to(load.largest, minion)
+    if not is_cordoned:
+        raise_to(load.largest_usable, minion)
     if minion.is_draining:
         return
-    if minion.hall in table.cordons:
+    if is_cordoned:
         load.cordoned += 1
         load.cordoned_room += minion.cpu_millicores
         load.cordoned_room_mb += minion.memory_mb
@@ -114,6 +121,22 @@
         load.room_mb += minion.memory_mb
 
 
+def raise_to(largest, minion):
+    """Raise each resource of `largest` to that of a minion which has more."""
+    largest.cpu_millicores = max(largest.cpu_millicores, minion.cpu_millicores)
+    largest.memory_mb = max(largest.memory_mb, minion.memory_mb)
+    largest.accelerators = max(largest.accelerators, minion.accelerators)
+
+
+def is_within(largest, step):
+    """Whether a task of `step` needs no more of any resource than `largest`."""
+    return (
+        step.counted_millicores <= largest.cpu_millicores
+        and step.memory_mb <= largest.memory_mb
+        and step.accelerators <= largest.accelerators
+    )
+
+
 def add_waiting(load, table, current_queue, step_key, now_ms, durations):
     """Add the waiting tasks of a ready step to the load of its pool."""
     job_id, round_number, step_number = step_key
@@ -127,6 +150,8 @@
     load.waiting += count * step.counted_millicores
     load.waiting_mb += count * step.memory_mb
     load.waiting_tasks += count
+    if load.waits_for_hall(step):
+        load.waiting_for_hall += count
     if is_late(current_queue, job, round_number, step_number, now_ms, durations):
         load.waiting_late += count * step.counted_millicores
         load.waiting_late_mb += count * step.memory_mb
--- a/tests/test_cordoned_pools.py
+++ b/tests/test_cordoned_pools.py
@@ -103,6 +103,24 @@
     assert (view.wanted, view.present) == (8, 0)
 
 
+# Guards against a pool that wants one more VM after each that arrives, as a task waits
+# that only a VM in the cordoned hall could hold; and against one that wants none for a
+# task that another VM could hold.
+@pytest.mark.parametrize("millicores, grows", [(8000, False), (4000, True)])
+def test_a_task_that_only_a_cordoned_vm_can_hold_brings_no_vms(millicores, grows):
+    log = HallLog()
+    big = make_minion(0, hall="h0", cpu_millicores=8000)
+    log.send(commands.RegisterMinion(big, 0))
+    log.submit(Step(1, millicores))
+    cordon(log, "h0")
+    controller = make_controller(log)
+    wanted = []
+    for number in range(8, 14):
+        log.send(commands.RegisterMinion(make_minion(number, hall="h1"), 0))
+        wanted.append(view_of(controller, now=NOW + number).wanted)
+    assert (wanted[-1] > log.load().minions) is grows
+
+
 # Guards against VMs that count twice: as not present since their hall is cordoned, and
 # once more since they leave, are maintained or do not answer.
 def test_a_vm_of_a_cordoned_hall_is_subtracted_once():
--- a/tests/test_job_plan.py
+++ b/tests/test_job_plan.py
@@ -175,6 +175,7 @@
         waiting_mb=200,
         waiting_tasks=2,
         largest=ResourceUsage(4000, 4000, 0),
+        largest_usable=ResourceUsage(4000, 4000, 0),
     )
     log.end(task(), RunResult.DONE)
     assert measure_pools(log.table, 0, Durations())["pool"].running == 500
