Maintain idle VMs of cordoned halls while pools are short of VMs

Cause: during a shortage a wave takes down only as many VMs as its deadline needs, since waiting tasks could use the others. That held back idle VMs of cordoned halls too, which no task can use.

Change: these leave within the wave's max_down whatever the shortage. They count towards the number that the deadline needs. The condition by which VMs go first has a name.

Weighed: to leave them out of that number; a wave would then take other VMs down beside them and add to the shortage.

--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -145,16 +145,28 @@
     def choose_leaving(self, wave, now):
         """Choose the VMs to drain next, in their `leaving_order`."""
         chosen = [vm for vm in wave.vms_waiting if vm in self.leaving_since_by_vm]
-        free = self.allowed_down(wave) - len(wave.vms_down) - len(chosen)
+        taken = len(wave.vms_down) + len(chosen)
         moving = self.session.table.move_by_vm
         others = [
             vm for vm in wave.vms_waiting if vm not in chosen and vm not in moving
         ]
         others.sort(key=self.leaving_order)
-        for vm in others[: max(0, free)]:
+        # The idle ones of cordoned halls are first in this order.
+        unused = sum(map(self.is_idle_in_cordoned_hall, others))
+        free = self.allowed_down(wave) - taken
+        count = max(0, free, min(unused, wave.max_down - taken))
+        for vm in others[:count]:
             self.leaving_since_by_vm[vm] = now
             log_event("upkeep_step", wave=wave.number, vm=vm, step="emptying")
 
+    def is_idle_in_cordoned_hall(self, vm):
+        """Whether a VM has no runs and gets none: waiting tasks cannot use it."""
+        return self.is_in_cordoned_hall(vm) and not self.runs_on(vm)
+
+    def is_in_cordoned_hall(self, vm):
+        """Whether no run may start in the hall of a VM."""
+        return self.session.mover.hall_of(vm) in self.session.table.cordons
+
     def leaving_order(self, vm):
         """Return the sort key by which VMs leave for their maintenance.
 
@@ -164,18 +176,16 @@
         """
         runs = self.runs_on(vm)
         steps = map(self.session.step_of, runs.values())
-        goes_first = self.session.mover.hall_of(
-            vm
-        ) in self.session.table.cordons and not any(
-            step is not None and step.lasts for step in steps
-        )
+        has_lasting_run = any(step is not None and step.lasts for step in steps)
+        goes_first = self.is_in_cordoned_hall(vm) and not has_lasting_run
         return (not goes_first, len(runs), vm)
 
     def allowed_down(self, wave):
         """Return how many VMs of a wave may be down at once now.
 
         While a pool is short of VMs, a wave takes down only as many as it needs
-        to meet its deadline, since waiting tasks could use the others.
+        to meet its deadline, since waiting tasks could use the others. Idle VMs of
+        cordoned halls are not held back by that.
         """
         if not self.session.mover.has_shortage:
             return wave.max_down
--- a/tests/test_hall_drain.py
+++ b/tests/test_hall_drain.py
@@ -350,3 +350,21 @@
     log.end(run.task)
     log.drain.run_pass()
     assert not log.drain.drained
+
+
+# Guards against maintenance that leaves idle VMs of a cordoned hall aside while pools
+# are short of VMs, although no waiting task could use them.
+@pytest.mark.parametrize("max_down, most_down", [(2, 2), (1, 1)])
+def test_idle_vms_of_a_cordoned_hall_are_not_held_back_by_a_shortage(
+    harness, max_down, most_down
+):
+    session = harness.dispatcher.session
+    session.mover.has_shortage = True
+    harness.cordon("h1")
+    platform = HallPlatform(harness)
+    wave = begin_wave(harness, platform, max_down=max_down, seconds=30)
+    assert wait_until(lambda: len(platform.calls) >= 2, SECONDS)
+    assert {vm for vm, _ in platform.calls[:2]} == {"vm-2", "vm-3"}
+    assert platform.most_down == most_down
+    assert wait_until(lambda: wave.is_done, 20)
+    assert platform.most_down == most_down
