Do not order the move of a spare VM whose hall was cordoned meanwhile

Cause: the hall of a spare VM was checked before its move was recorded, but a cordon could come while that was committed. The VM was powered on all the same.

Change: the hall is checked again before the first order of the move to the platform; the move then ends in the log and the VM stays spare.

Weighed: to end moves that were ordered before; the platform may still carry them out, so they go on, as do those that an earlier leader began.

--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -59,6 +59,8 @@
     `source_pool_by_vm`
         The spare pool that a VM was taken from, until the platform's answer
         settles the move.
+    `unordered_spare_vms`
+        Spare VMs whose move this leadership begins and has not ordered yet.
     `vms_in_call`
         VMs with a call to the platform in progress.
     `done`
@@ -77,6 +79,7 @@
         super().__init__(session, terms, move_seconds)
         self.platform = platform
         self.source_pool_by_vm = {}
+        self.unordered_spare_vms = set()
         self.vms_in_call = set()
         self.is_listing = False
         self.done = set()
@@ -151,6 +154,10 @@
                 self.hall_of(move.vm)
             ):
                 return
+            if move.vm in self.spare_pool_by_vm:
+                self.unordered_spare_vms.add(move.vm)
+            else:
+                self.unordered_spare_vms.discard(move.vm)
             is_recorded = self.session.propose(BeginMove(move.vm, move.pool))
         finally:
             self.proposed_pool_by_vm.pop(move.vm, None)
@@ -177,7 +184,12 @@
         try:
             if self.session.table.move_by_vm.get(vm) != pool:
                 log_event("move_step", vm=vm, pool=pool, reply="already over")
+                self.unordered_spare_vms.discard(vm)
+                return
+            if vm in self.unordered_spare_vms and self.is_cordoned(self.hall_of(vm)):
+                self.cancel(vm, pool)
                 return
+            self.unordered_spare_vms.discard(vm)
             minion = self.minion_on(vm)
             reply = self.platform.move(
                 vm, pool, self.session.name, self.session.fence, CALL_SECONDS
@@ -193,6 +205,18 @@
         finally:
             self.vms_in_call.discard(vm)
 
+    def cancel(self, vm, pool):
+        """End the move of a spare VM whose hall was cordoned before it was ordered."""
+        log_event("move_step", vm=vm, pool=pool, reply="hall cordoned")
+        if self.session.propose(EndMove(vm)):
+            self.unordered_spare_vms.discard(vm)
+            self.return_to_spare_pool(vm)
+
+    def return_to_spare_pool(self, vm):
+        """Count a VM as spare again if it was taken from a spare pool."""
+        if vm in self.source_pool_by_vm:
+            self.spare_pool_by_vm[vm] = self.source_pool_by_vm.pop(vm)
+
     def minion_on(self, vm):
         """Return the record of the minion on a VM, or None."""
         table = self.session.table
@@ -208,8 +232,7 @@
         elif reply in (FleetReply.BUSY, FleetReply.NOT_IN_WAVE):
             self.hold(vm, BUSY_SECONDS)
             self.session.propose(EndMove(vm))
-            if vm in self.source_pool_by_vm:
-                self.spare_pool_by_vm[vm] = self.source_pool_by_vm.pop(vm)
+            self.return_to_spare_pool(vm)
         elif reply is FleetReply.FENCED:
             self.session.fenced(vm)
         elif reply is FleetReply.UNSURE:
--- a/tests/test_cordoned_pools.py
+++ b/tests/test_cordoned_pools.py
@@ -6,7 +6,7 @@
 
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.duration import Durations
-from hingepitch.jobs.fleet import VmRow, VmState
+from hingepitch.jobs.fleet import FleetReply, VmRow, VmState
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveController
 from hingepitch.jobs.pool import IdleVm, Move, PoolTerms, PoolView, plan_moves
@@ -54,6 +54,9 @@
         measure_pools=lambda: measure_pools(log.table, 0, Durations()),
         propose=lambda command: not log.send(command),
         runs_of=lambda minion: log.table.runs_by_minion.get(minion, {}),
+        spawn_guarded=lambda name, function, *arguments: function(*arguments),
+        name="test",
+        fence=1,
     )
     log.table.has_seen_batch_job = True
     controller = MoveController(session, platform, TERMS, 1.0)
@@ -162,6 +165,56 @@
     assert not log.table.move_by_vm
 
 
+class Orders:
+    """A platform that notes the moves it is ordered and answers them with `reply`."""
+
+    def __init__(self, reply=FleetReply.UNSURE):
+        self.reply = reply
+        self.moves = []
+
+    def move(self, vm, pool, *rest):
+        self.moves.append((vm, pool))
+        return self.reply
+
+
+def begin_spare_move(log, platform, is_cordoned_after_begin):
+    """Begin the move of the spare VM `vm-8` of the hall `h0`; return the controller."""
+    controller = make_controller(log, platform)
+    rows = [VmRow("vm-8", "off", VmState.UP, "h0", "", "a")]
+    controller.apply_vm_list(rows)
+    propose = controller.session.propose
+
+    def propose_and_cordon(command):
+        is_accepted = propose(command)
+        if is_cordoned_after_begin and isinstance(command, commands.BeginMove):
+            cordon(log, "h0")
+        return is_accepted
+
+    controller.session.propose = propose_and_cordon
+    controller.begin(Move("vm-8", "pool"))
+    return controller
+
+
+# Guards against a spare VM that is powered on as its hall was cordoned only after the
+# begin of its move was recorded, and against one that is lost to the spare pool then.
+def test_a_recorded_move_into_a_hall_that_is_cordoned_is_not_ordered():
+    log, platform = HallLog(), Orders()
+    controller = begin_spare_move(log, platform, True)
+    assert (platform.moves, log.table.move_by_vm) == ([], {})
+    cordon(log, "h0", is_cordoned=False)
+    assert [idle.vm for idle in view_of(controller, "off").idle] == ["vm-8"]
+
+
+# Guards against a move that ends in the log while the platform may still carry it out.
+def test_a_move_that_was_ordered_goes_on_though_its_hall_is_cordoned():
+    log, platform = HallLog(), Orders()
+    controller = begin_spare_move(log, platform, False)
+    cordon(log, "h0")
+    controller.call_once_at_a_time("vm-8", "pool")
+    assert platform.moves == [("vm-8", "pool")] * 2
+    assert log.table.move_by_vm == {"vm-8": "pool"}
+
+
 # Guards against a spare VM whose hall is forgotten while it is on its way to the spare
 # pool and missing from the platform's list, and against one that was never listed.
 def test_the_hall_of_a_vm_is_kept_while_it_moves_to_the_spare_pool():
