Fit the planted fault of the cordoned capacity to the code

Cause: the condition in load.py has a name since the demand for tasks that only a cordoned VM can hold is bounded, and tests/test_docs.py found the fault without a place. Change: the fault names the new line.

--- a/standin/hall_faults.py
+++ b/standin/hall_faults.py
@@ -16,7 +16,13 @@
     Fault(
         "jobs",
         "minions of a cordoned hall count as capacity",
-        (("jobs/load.py", "if minion.hall in table.cordons:", "if False:"),),
+        (
+            (
+                "jobs/load.py",
+                "is_cordoned = minion.hall in table.cordons",
+                "is_cordoned = False",
+            ),
+        ),
         "gets_vms_of_the_other_halls_at_once",
     ),
     Fault(
