Carry out the orders of cordons by one implementation

Cause: the operators' API and the platform's adapter each had the loop of reading the revision, checking the caller and sending the order, with other limits (three attempts against a time) and other checks of names, and their log lines named the revision differently. The parameter halls of HallResource was never given.

Change: hingepitch/jobs/hallorder.py has the loop, the check of the name and the log line, which names the base revision. A base revision that a caller gives is still sent once. The dead parameter is gone. The test of the log line patches the module that logs now.

Weighed: to send AskHalls and SetCordon from the operators' API too. Replicas without the job service cannot answer these, and the audit would name the replica instead of the operator.

--- a/hingepitch/control/hallapi.py
+++ b/hingepitch/control/hallapi.py
@@ -8,21 +8,18 @@
 :license: BSD, see LICENSE for details.
 """
 
-from hingepitch.clock import wall_ms
+from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import is_caller_connected
 from hingepitch.jobs.command import CordonHall, UncordonHall
+from hingepitch.jobs.hallorder import carry_out, log_change, require_hall
 from hingepitch.jobs.hallrows import hall_rows
-from hingepitch.log import log_event
 from hingepitch.model.command import Envelope, Role
 
 __all__ = ["HallResource"]
 
-PROPOSE_SECONDS = 4.0
-
-#: Number of attempts of an order without a revision of its own, each based on the
-#: revision that is current then.
-ATTEMPTS = 3
+#: Time for one order, and for each of its attempts, in seconds.
+ORDER_SECONDS = 4.0
 
 
 class HallResource:
@@ -34,15 +31,12 @@
         A `GroupClient`, which passes commands to the leader.
     `authenticator`
         A `hingepitch.control.operator.Authenticator`.
-    `halls`
-        Names of the halls that are valid even without minions.
     """
 
-    def __init__(self, confirm_state, group, authenticator, halls=()):
+    def __init__(self, confirm_state, group, authenticator):
         self.confirm_state = confirm_state
         self.group = group
         self.authenticator = authenticator
-        self.halls = frozenset(halls)
 
     def on_get(self, req, resp):
         """Respond with the halls and the revision of their cordons."""
@@ -68,46 +62,50 @@
         its caller is still connected after that was read.
         """
         operator = self.authenticator.operator(req)
-        given = req.get_param_as_int("base_revision", min_value=0)
-        attempts = ATTEMPTS if given is None else 1
-        while True:
-            attempts -= 1
-            table = self.confirm_state().jobs
-            self.check_name(table, hall)
-            was_cordoned = hall in table.cordons
-            revision = table.cordons.revision if given is None else given
-            if not is_caller_connected(req):
-                raise HingepitchError("deadline_passed", "the caller has gone")
-            command = UncordonHall(hall, revision)
-            if is_cordoned:
-                command = CordonHall(hall, wall_ms(), revision)
-            outcome = self.group.propose(
-                Envelope(Role.OPERATOR, operator.partner, operator.name, command),
-                PROPOSE_SECONDS,
-            )
-            if outcome.accepted:
-                break
-            if outcome.code != "stale_version" or not attempts:
-                raise HingepitchError(outcome.code, outcome.detail)
-        if was_cordoned != is_cordoned:
-            log_change(hall, is_cordoned, operator, revision)
+        order = HallOrder(self, operator, hall, is_cordoned)
+        carry_out(
+            order.read_revision,
+            order.send,
+            lambda: is_caller_connected(req),
+            lease_seconds() + ORDER_SECONDS,
+            req.get_param_as_int("base_revision", min_value=0),
+        )
         return {"hall": hall, "is_cordoned": is_cordoned}
 
-    def check_name(self, table, hall):
-        """Raise `unknown_hall` unless the hall is configured, cordoned or has minions.
 
-        A mistyped name would otherwise be accepted and keep no work away.
-        """
-        if hall in self.halls or hall in table.cordons:
-            return
-        if not any(minion.hall == hall for minion in table.minion_by_id.values()):
-            raise HingepitchError("unknown_hall", f"no hall {hall}")
-
-
-def log_change(hall, is_cordoned, operator, revision):
-    """Log that an operator has changed a cordon, and the revision before that."""
-    fields = {"hall": hall, "by": operator.name, "base_revision": revision}
-    if is_cordoned:
-        log_event("hall_cordoned", **fields)
-    else:
-        log_event("hall_uncordoned", **fields)
+class HallOrder:
+    """One order of an operator, as `carry_out` needs it.
+
+    `resource`
+        The `HallResource`.
+    `was_cordoned`
+        Whether the hall was cordoned when the revision was last read.
+    """
+
+    def __init__(self, resource, operator, hall, is_cordoned):
+        self.resource = resource
+        self.operator = operator
+        self.hall = hall
+        self.is_cordoned = is_cordoned
+        self.was_cordoned = False
+
+    def read_revision(self):
+        """Return the revision of the cordons; raise `unknown_hall` for a wrong name."""
+        table = self.resource.confirm_state().jobs
+        require_hall(table, self.hall)
+        self.was_cordoned = self.hall in table.cordons
+        return table.cordons.revision
+
+    def send(self, revision):
+        """Propose the order; raise `HingepitchError` if it is refused."""
+        command = UncordonHall(self.hall, revision)
+        if self.is_cordoned:
+            command = CordonHall(self.hall, wall_ms(), revision)
+        outcome = self.resource.group.propose(
+            Envelope(Role.OPERATOR, self.operator.partner, self.operator.name, command),
+            ORDER_SECONDS,
+        )
+        if not outcome.accepted:
+            raise HingepitchError(outcome.code, outcome.detail)
+        if self.was_cordoned != self.is_cordoned:
+            log_change(self.hall, self.is_cordoned, self.operator.name, revision)
--- a/hingepitch/jobs/hallservice.py
+++ b/hingepitch/jobs/hallservice.py
@@ -10,10 +10,9 @@
 """
 
 from hingepitch.clock import wall_ms
-from hingepitch.error import HingepitchError
 from hingepitch.jobs.command import CordonHall, UncordonHall
+from hingepitch.jobs.hallorder import log_change, require_hall
 from hingepitch.jobs.question import HallListing
-from hingepitch.log import log_event
 from hingepitch.model.command import Role
 
 __all__ = ["HallService"]
@@ -47,7 +46,8 @@
         that were sent before it.
         """
         if not order.is_listed:
-            self.require_hall(order.hall)
+            self.service.confirm_leadership()
+            require_hall(self.table, order.hall)
         is_change = (order.hall in self.table.cordons) is not order.is_cordoned
         if order.is_cordoned:
             command = CordonHall(order.hall, wall_ms(), order.base_revision)
@@ -55,16 +55,4 @@
             command = UncordonHall(order.hall, order.base_revision)
         self.service.propose(Role.OPERATOR, command)
         if is_change:
-            log_event(
-                "hall_cordoned" if order.is_cordoned else "hall_uncordoned",
-                hall=order.hall,
-                by=order.caller,
-                revision=self.table.cordons.revision,
-            )
-
-    def require_hall(self, hall):
-        """Raise `unknown_hall` unless a minion or a cordon shows that a hall exists."""
-        self.service.confirm_leadership()
-        minions = self.table.minion_by_id.values()
-        if hall not in self.table.cordons and all(one.hall != hall for one in minions):
-            raise HingepitchError("unknown_hall", hall)
+            log_change(order.hall, order.is_cordoned, order.caller, order.base_revision)
--- a/tests/test_cordon_orders.py
+++ b/tests/test_cordon_orders.py
@@ -124,7 +124,7 @@
 def test_a_change_is_logged_once(group, monkeypatch):
     lines = []
     monkeypatch.setattr(
-        "hingepitch.jobs.hallservice.log_event",
+        "hingepitch.jobs.hallorder.log_event",
         lambda event, **pairs: lines.append((event, pairs["hall"], pairs["by"])),
     )
     for method in ("POST", "POST", "DELETE", "DELETE"):
--- a/tests/test_hall_operators.py
+++ b/tests/test_hall_operators.py
@@ -10,6 +10,7 @@
 from hingepitch.control import hallapi
 from hingepitch.control.operator import Authenticator, OperatorApi
 from hingepitch.error import ExitCode, HingepitchError
+from hingepitch.jobs import hallorder
 from hingepitch.jobs.explain import explain_queued_job
 from hingepitch.jobs.gauge import MAX_SHOWN_HALLS, DispatchGauge
 from hingepitch.jobs.hallrows import HallRow, hall_rows, measure_halls
@@ -154,6 +155,43 @@
     assert set(operators.log.table.cordons.cordon_by_hall) == {"h0", "h1"}
 
 
+# Guards against an order that is given up although its caller waits, while other orders
+# come first, and against one with a revision of its own that is sent again.
+@pytest.mark.parametrize("path, sent", [("", 6), ("?base_revision=0", 1)])
+def test_an_order_is_tried_again_until_it_is_due(operators, path, sent):
+    halls = ["h1"] * 5
+    calls = []
+    propose = operators.propose
+
+    def propose_after_another(envelope, seconds):
+        calls.append(envelope)
+        if halls:
+            cordon(operators.log, halls.pop())
+        return propose(envelope, seconds)
+
+    operators.propose = propose_after_another
+    if sent == 1:
+        with pytest.raises(HingepitchError, match="stale_version"):
+            operators.call("POST", f"/v1/halls/h0/cordon{path}")
+    else:
+        operators.call("POST", f"/v1/halls/h0/cordon{path}")
+    assert len(calls) == sent
+
+
+# Guards against log lines of the two interfaces that name the revision differently.
+def test_the_change_of_a_cordon_is_logged_with_the_revision_it_is_based_on(
+    operators, monkeypatch
+):
+    lines = []
+    monkeypatch.setattr(
+        hallorder, "log_event", lambda event, **pairs: lines.append((event, pairs))
+    )
+    operators.call("POST", "/v1/halls/h0/cordon")
+    operators.call("POST", "/v1/halls/h0/cordon")
+    fields = {"hall": "h0", "by": "joris", "base_revision": 0}
+    assert lines == [("hall_cordoned", fields)]
+
+
 # Guards against a mistyped name that is accepted and keeps no work away.
 def test_a_hall_that_does_not_exist_is_refused(operators):
     for method in ("POST", "DELETE"):
