Call the capacity of a hall by its name

Cause: room means free capacity elsewhere, but the rows of the halls showed the whole capacity of the VMs under that name. Change: capacity_millicores and capacity_mb.

--- a/hingepitch/jobs/hallrows.py
+++ b/hingepitch/jobs/hallrows.py
@@ -24,8 +24,10 @@
     `runs`, `lasting_runs`
         Number of runs that are recorded, and of those of long-running tasks among
         them, which do not end by themselves.
-    `used_millicores`, `room_millicores`, `used_mb`, `room_mb`
-        What the runs use, and the capacity of the VMs.
+    `used_millicores`, `used_mb`
+        What the runs use.
+    `capacity_millicores`, `capacity_mb`
+        What the VMs have in all.
     """
 
     name: str
@@ -35,9 +37,9 @@
     runs: int = 0
     lasting_runs: int = 0
     used_millicores: int = 0
-    room_millicores: int = 0
+    capacity_millicores: int = 0
     used_mb: int = 0
-    room_mb: int = 0
+    capacity_mb: int = 0
 
 
 def hall_rows(table, now_ms):
@@ -70,8 +72,8 @@
     row.lasting_runs += sum(is_lasting(table, run) for run in runs)
     row.used_millicores += used.cpu_millicores
     row.used_mb += used.memory_mb
-    row.room_millicores += minion.cpu_millicores
-    row.room_mb += minion.memory_mb
+    row.capacity_millicores += minion.cpu_millicores
+    row.capacity_mb += minion.memory_mb
 
 
 def is_lasting(table, run):
--- a/tests/test_hall_operators.py
+++ b/tests/test_hall_operators.py
@@ -73,9 +73,9 @@
         "runs": 3,
         "lasting_runs": 1,
         "used_millicores": 2500,
-        "room_millicores": 8000,
+        "capacity_millicores": 8000,
         "used_mb": 210,
-        "room_mb": 8000,
+        "capacity_mb": 8000,
     }
     assert (second["cordoned_since_ms"], second["runs"]) == (None, 0)
 
