--- a/hingepitch/jobs/pool.py
+++ b/hingepitch/jobs/pool.py
@@ -106,6 +106,10 @@
         """Number of VMs in cordoned halls that the pool can give to a spare pool."""
         return max(0, min(self.cordoned, self.present + self.cordoned - self.wanted))
 
+    def may_power_off(self, is_cordoned):
+        """Whether a VM, in a cordoned hall or elsewhere, may go to a spare pool."""
+        return (self.cordoned_surplus if is_cordoned else self.surplus) > 0
+
 
 @dataclass(frozen=True, slots=True)
 class Move:
@@ -188,7 +192,7 @@
     """
     lenders = [pool for pool in pools if not pool.is_spare]
     for pool, is_cordoned in itertools.product(lenders, (True, False)):
-        while pool.cordoned_surplus if is_cordoned else pool.surplus:
+        while pool.may_power_off(is_cordoned):
             idle = pick_idle(pool, spare, terms.idle_seconds, impossible, is_cordoned)
             if idle is None:
                 break
