Estimate a wide job's own time from the supply of VMs

Cause: the time of a job that is wide for its pool was its work divided by the present room, without VMs on their way and spare VMs. In an idle pool it was refused each time that it returned, and created no demand for VMs.

Change: the time comes from the pool's supply. over_rate besides requires a wait for the work of others.

Weighed: requiring such a wait for cannot_finish too.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -84,7 +84,7 @@
         Function that returns a monotonic time in seconds.
     `make_estimator`
         Function from a `PoolBacklog` and a `Supply` to an estimator of waits.
-    `backlog_by_pool`, `estimator_by_pool`
+    `backlog_by_pool`, `supply_by_pool`, `estimator_by_pool`
         The last measurement.
     `in_flight`
         The pool and `WaitingJob` of each job that is being recorded in the log, by id.
@@ -99,6 +99,7 @@
         self.clock = clock
         self.make_estimator = make_estimator
         self.backlog_by_pool = {}
+        self.supply_by_pool = {}
         self.estimator_by_pool = {}
         self.arriving_by_class = {}
         self.rate_by_class = defaultdict(ArrivalRate)
@@ -192,8 +193,12 @@
         self.backlog_by_pool = measure_backlogs(
             self.table, at_ms, self.session.durations, self.shares.is_known_excess
         )
+        self.supply_by_pool = {
+            pool: self.supply(pool, backlog)
+            for pool, backlog in self.backlog_by_pool.items()
+        }
         self.estimator_by_pool = {
-            pool: self.make_estimator(backlog, self.supply(pool, backlog))
+            pool: self.make_estimator(backlog, self.supply_by_pool[pool])
             for pool, backlog in self.backlog_by_pool.items()
         }
         for pool, work in self.in_flight.values():
@@ -228,11 +233,14 @@
         rank = Rank(queue.priority, candidate.token_wait_ms > 0, False, due_ms)
         candidate.work = waiting_job(rank, steps, backlog.load, expected_ms)
         # A job that is wide for its pool takes longer than its critical path.
-        longer_ms = max(0.0, 1000 * candidate.work.core_ms / backlog.room - chain_ms)
-        candidate.wait_ms = self.wait_ms(queue.pool, rank) + longer_ms
+        own_ms = self.supply_by_pool[queue.pool].drain_ms(candidate.work.core_ms)
+        longer_ms = max(0.0, own_ms - chain_ms)
+        others_ms = self.wait_ms(queue.pool, rank)
+        candidate.wait_ms = others_ms + longer_ms
         if candidate.wait_ms <= longest_wait_ms(queue, steps, durations):
             return None
-        if rank.is_excess:
+        # A job that is late by its own work alone would be so at any rate.
+        if rank.is_excess and others_ms > 0:
             return "over_rate"
         late_rank = rank._replace(is_late=True)
         candidate.wait_ms = self.wait_ms(queue.pool, late_rank) + longer_ms
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -139,6 +139,25 @@
     assert leader.code("plain") is None
 
 
+# Guards against a wide job that is refused in an idle pool each time that it returns,
+# and thus never creates the demand for the VMs that it needs.
+@pytest.mark.parametrize("account", ["plain", "heavy"])
+def test_a_wide_job_in_an_idle_pool_is_accepted(leader, account):
+    for minion_id in list(leader.table.minion_by_id)[1:]:
+        del leader.table.minion_by_id[minion_id]
+    leader.session.planner.shares.token_wait_ms = lambda *_: 100.0
+    spare = {f"spare-{number}": "off" for number in range(100)}
+    leader.session.mover.spare_pool_by_vm = spare
+    assert leader.code(account, (replace(TASK, count=100),)) is None
+
+
+# Guards against `over_rate` for a job that is late by its own work alone.
+def test_a_job_that_waits_for_no_other_is_not_over_its_rate(make_leader):
+    leader = make_leader(has_pressure=False)
+    leader.session.planner.shares.token_wait_ms = lambda *_: 100.0
+    assert leader.code("heavy", (replace(TASK, count=2000),)) is None
+
+
 # Guards against runs on minions that take no new ones, which would count against the
 # capacity of the others.
 def test_minions_that_take_no_new_runs_count_neither_as_room_nor_as_used(leader):
