Accept jobs where long-running tasks leave a pool little room

Cause: where long-running tasks fill a pool, the estimate divided by the little room that they leave, and refused every job. Waiting long-running tasks also counted as using room if the quota of their account holds them back.

Change: nothing is refused in a pool with less room than half a VM. Waiting long-running tasks count as far as the quota lets them start, over all jobs of the account.

Weighed: comparing the room with the job's own widest task. That depends on the job, and room just above one task is as poor an estimate.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -36,6 +36,10 @@
 #: one, so that measurements use at most a tenth of the CPU.
 MEASURE_PAUSE_FACTOR = 9
 
+#: Room below which nothing is refused, in VMs: if long-running tasks fill a pool, the
+#: estimate divides by the little that they leave, where a task may not even fit.
+MIN_ROOM_VMS = 0.5
+
 #: A response is worth nothing after this many times the objective of its job.
 WORTHLESS_OBJECTIVES = 3
 
@@ -183,7 +187,10 @@
             return False
         self.measure_if_due(at_ms)
         backlog = self.backlog_by_pool.get(queue.pool)
-        return backlog is not None and backlog.room > 0
+        if backlog is None or not backlog.load.minions:
+            return False
+        vm_room = backlog.load.room / backlog.load.minions
+        return backlog.room >= MIN_ROOM_VMS * vm_room
 
     def measure_if_due(self, at_ms):
         """Measure the backlog of all pools unless the last measurement is recent."""
--- a/hingepitch/jobs/backlog.py
+++ b/hingepitch/jobs/backlog.py
@@ -9,12 +9,14 @@
 """
 
 from bisect import bisect_left, insort
+from copy import copy
 from dataclasses import dataclass, field
 from itertools import accumulate
 from math import inf
 from typing import NamedTuple
 
 from hingepitch.jobs.due import due_ms, is_late
+from hingepitch.jobs.ledger import NO_QUOTA
 from hingepitch.jobs.load import PoolLoad, add_minion
 
 __all__ = ["PoolBacklog", "Rank", "WaitingJob", "measure_backlogs", "waiting_job"]
@@ -126,6 +128,44 @@
         return self.work_until[self.place(rank)] + self.recent_ahead(rank)
 
 
+class QuotaBudget:
+    """What the quotas of accounts still allow in the course of one measurement.
+
+    `ledger`
+        The `AccountLedger`.
+    `usage_by_account`
+        `AccountUsage` of the runs and of the waiting tasks that were taken.
+    `core_ms_by_account`
+        Work that is left of `QUOTA_HORIZON_MS` with the whole quota in use.
+    """
+
+    def __init__(self, ledger):
+        self.ledger = ledger
+        self.usage_by_account = {}
+        self.core_ms_by_account = {}
+
+    def take_tasks(self, account, step, waiting):
+        """Return how many of the waiting tasks of `step` may start; count them."""
+        quota = self.ledger.quota(account) if account else NO_QUOTA
+        if quota == NO_QUOTA:
+            return waiting
+        usage = self.usage_by_account.get(account)
+        if usage is None:
+            usage = self.usage_by_account[account] = copy(self.ledger.usage(account))
+        count = usage.room(quota, step, waiting)
+        usage.add(step, count)
+        return count
+
+    def take_work(self, account, core_ms):
+        """Return the part of a job's work that its account's quota allows soon."""
+        limit = self.ledger.quota(account).cpu_millicores if account else 0
+        if not limit:
+            return core_ms
+        left = self.core_ms_by_account.get(account, limit * QUOTA_HORIZON_MS / 1000)
+        self.core_ms_by_account[account] = max(0.0, left - core_ms)
+        return min(core_ms, left)
+
+
 def amount_of(step, load):
     """Return the millicores of a task, or the share of memory if that is larger."""
     from_memory = step.memory_mb * load.room / load.room_mb if load.room_mb else 0
@@ -155,9 +195,9 @@
             add_minion(backlog.load, table, minion)
     for run in table.run_by_task.values():
         add_run(backlog_by_pool, table, run, now_ms, durations)
-    budgets = {}
+    quotas = QuotaBudget(table.ledger)
     for key in first_steps(table):
-        add_job(backlog_by_pool, table, key, now_ms, durations, is_excess, budgets)
+        add_job(backlog_by_pool, table, key, now_ms, durations, is_excess, quotas)
     for backlog in backlog_by_pool.values():
         backlog.seal()
     return backlog_by_pool
@@ -194,13 +234,11 @@
     backlog.running += amount
 
 
-def add_job(
-    backlog_by_pool, table, step_key, now_ms, durations, is_excess, budget_by_account
-):
+def add_job(backlog_by_pool, table, step_key, now_ms, durations, is_excess, quotas):
     """Add the waiting work of a round, later steps included, to its pool's backlog.
 
-    `budget_by_account`
-        The work that the quotas of accounts allow within `QUOTA_HORIZON_MS`.
+    `quotas`
+        The `QuotaBudget` of this measurement.
     """
     job_id, round_number, step_number = step_key
     job = table.job_by_id.get(job_id)
@@ -219,25 +257,16 @@
         waiting = max(0, opened.left_by_step[number] - sum(runs.values()))
         amount = waiting * amount_of(step, backlog.load)
         if step.lasts:
-            backlog.lasting += amount
+            startable = quotas.take_tasks(job.account, step, waiting)
+            backlog.lasting += startable * amount_of(step, backlog.load)
             continue
         widest = max(widest, amount)
         core_ms += amount * durations.expected_ms(queue.route, step) / 1000
         if (job_id, round_number, number) in table.ready_steps:
             backlog.waiting_millicores += amount
-    core_ms = within_quota(table, job.account, core_ms, budget_by_account)
+    core_ms = quotas.take_work(job.account, core_ms)
     if core_ms:
         late = is_late(queue, job, round_number, step_number, now_ms, durations)
         due = due_ms(queue, job, round_number, durations)
         rank = Rank(queue.priority, is_excess(job_id), late, due)
         backlog.waiting.append(WaitingJob(rank, core_ms, widest))
-
-
-def within_quota(table, account, core_ms, budget_by_account):
-    """Return the part of a job's work that its account's quota allows soon."""
-    limit = table.ledger.quota(account).cpu_millicores if account else 0
-    if not limit:
-        return core_ms
-    left = budget_by_account.setdefault(account, limit * QUOTA_HORIZON_MS / 1000)
-    budget_by_account[account] = max(0.0, left - core_ms)
-    return min(core_ms, left)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,7 +9,7 @@
 from adapter.terms import make_dispatch_settings
 from hingepitch.error import HingepitchError
 from hingepitch.jobs import backlog as backlogs, command as commands
-from hingepitch.jobs.account import digest_key
+from hingepitch.jobs.account import Quota, digest_key
 from hingepitch.jobs.estimate import BoundEstimator
 from hingepitch.jobs.gauge import MAX_ESTIMATES
 from hingepitch.jobs.question import GiveJob
@@ -158,6 +158,30 @@
     assert leader.code("heavy", (replace(TASK, count=2000),)) is None
 
 
+# Guards against refusals of all jobs while long-running tasks fill a pool.
+def test_where_long_running_tasks_leave_little_room_a_job_is_accepted(leader):
+    vm = next(iter(leader.table.minion_by_id.values())).cpu_millicores
+    lasting = Step(12, vm - 20, lasts=True)
+    leader.record(leader.question("plain", (lasting,)))
+    leader.start_tasks()
+    assert leader.code("plain") is None
+    assert leader.admission.backlog_by_pool["pool"].room == 12 * 20
+
+
+def put_quota(leader, account, cpu_millicores):
+    leader.table.ledger.quota_by_account[account] = Quota(cpu_millicores)
+
+
+# Guards against long-running tasks that take no room, since the quota of their account
+# holds them back, and count as if they did.
+def test_long_running_tasks_that_a_quota_holds_back_leave_their_room(leader):
+    put_quota(leader, "plain", 2000)
+    for _ in range(3):
+        leader.record(leader.question("plain", (Step(64, 1000, lasts=True),)))
+    leader.code("small")
+    assert leader.admission.backlog_by_pool["pool"].lasting == 2000
+
+
 # Guards against runs on minions that take no new ones, which would count against the
 # capacity of the others.
 def test_minions_that_take_no_new_runs_count_neither_as_room_nor_as_used(leader):
