Count work that a quota holds back as the quota lets it run

Cause: all ready tasks of an account counted as using the pool, also those that its quota holds back, so that a pool looked full for the jobs of others. The limit of its work ahead was for a fixed 5 s.

Change: ready tasks, and those of new jobs, count as far as the quota has room beside what runs; the work ahead as far as the quota allows within the longest wait for which a job of the queue is accepted.

Weighed: limiting at the measurement only. New jobs of such an account would then fill the pool until the next one, up to a second with a long backlog.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -17,9 +17,16 @@
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.account import find_caller
 from hingepitch.jobs.arrival import ArrivalRate
-from hingepitch.jobs.backlog import Rank, WaitingJob, measure_backlogs, waiting_job
+from hingepitch.jobs.backlog import (
+    QuotaBudget,
+    Rank,
+    WaitingJob,
+    measure_backlogs,
+    waiting_job,
+    within_quota,
+)
 from hingepitch.jobs.client import UNKNOWN_OUTCOME_CODES
-from hingepitch.jobs.due import longest_wait_ms
+from hingepitch.jobs.due import decided_wait_ms, longest_wait_ms
 from hingepitch.jobs.estimate import BoundEstimator, Supply
 from hingepitch.jobs.queue import Queue
 from hingepitch.jobs.retry import MIN_RETRY_MS, RetrySchedule
@@ -40,9 +47,6 @@
 #: estimate divides by the little that they leave, where a task may not even fit.
 MIN_ROOM_VMS = 0.5
 
-#: A response is worth nothing after this many times the objective of its job.
-WORTHLESS_OBJECTIVES = 3
-
 #: Time until the mover orders a VM that a pool lacks, in seconds.
 ORDER_SECONDS = 0.1
 
@@ -57,6 +61,8 @@
 class Candidate:
     """A new job on which admission decides.
 
+    `caller`
+        Name of the account of its caller, or empty.
     `account`
         The `ClientAccount` whose rate it counts for, or None.
     `token_wait_ms`
@@ -68,6 +74,7 @@
     """
 
     id: str
+    caller: str
     account: object
     queue: Queue
     steps: tuple
@@ -90,6 +97,8 @@
         Function from a `PoolBacklog` and a `Supply` to an estimator of waits.
     `backlog_by_pool`, `supply_by_pool`, `estimator_by_pool`
         The last measurement.
+    `quotas`
+        The `QuotaBudget` of the last measurement and of what was accepted since.
     `in_flight`
         The pool and `WaitingJob` of each job that is being recorded in the log, by id.
     `refusal_by_call`
@@ -103,6 +112,7 @@
         self.clock = clock
         self.make_estimator = make_estimator
         self.backlog_by_pool = {}
+        self.quotas = None
         self.supply_by_pool = {}
         self.estimator_by_pool = {}
         self.arriving_by_class = {}
@@ -152,9 +162,10 @@
         if queue is None or is_exempt:
             return None
         self.raise_last_refusal(question)
-        account = self.account_of(question)
+        caller = self.caller_of(question)
+        account = self.account_of(caller)
         token_wait_ms = self.token_wait_ms(account, question.id, at_ms)
-        candidate = Candidate(question.id, account, queue, steps, token_wait_ms)
+        candidate = Candidate(question.id, caller, account, queue, steps, token_wait_ms)
         if self.knows_enough(queue, at_ms):
             code = self.judge(candidate, at_ms)
             if code and self.session.may_order():
@@ -162,12 +173,14 @@
         self.count(candidate, at_ms)
         return candidate
 
-    def account_of(self, question):
-        """Return the `ClientAccount` of a new job if it has a rate, else None."""
-        if not self.table.has_accounts:
-            return None
-        name = find_caller(self.table, question, None)
-        account = self.table.accounts.account_by_name.get(name)
+    def caller_of(self, question):
+        """Return the name of the account of a new job; empty without accounts."""
+        has_accounts = self.table.has_accounts
+        return find_caller(self.table, question, None) if has_accounts else ""
+
+    def account_of(self, caller):
+        """Return the `ClientAccount` of a caller if it has a rate, else None."""
+        account = self.table.accounts.account_by_name.get(caller)
         return account if account is not None and account.weight else None
 
     def token_wait_ms(self, account, job_id, at_ms):
@@ -197,8 +210,13 @@
         now = self.clock()
         if now < self.next_measurement:
             return
+        self.quotas = QuotaBudget(self.table.ledger)
         self.backlog_by_pool = measure_backlogs(
-            self.table, at_ms, self.session.durations, self.shares.is_known_excess
+            self.table,
+            at_ms,
+            self.session.durations,
+            self.shares.is_known_excess,
+            self.quotas,
         )
         self.supply_by_pool = {
             pool: self.supply(pool, backlog)
@@ -251,7 +269,7 @@
             return "over_rate"
         late_rank = rank._replace(is_late=True)
         candidate.wait_ms = self.wait_ms(queue.pool, late_rank) + longer_ms
-        limit_ms = longest_wait_ms(queue, steps, durations, WORTHLESS_OBJECTIVES)
+        limit_ms = decided_wait_ms(queue, steps, durations)
         if self.session.terms.has_pressure and candidate.wait_ms > limit_ms:
             return "cannot_finish"
         return None
@@ -281,7 +299,15 @@
             self.shares.count_new(candidate.account, candidate.id, at_ms)
         if candidate.work is None:
             return
-        pool, work = candidate.queue.pool, candidate.work
+        pool = candidate.queue.pool
+        work = candidate.work = within_quota(
+            candidate.work,
+            candidate.caller,
+            candidate.steps,
+            self.backlog_by_pool[pool].load,
+            self.quotas,
+            decided_wait_ms(candidate.queue, candidate.steps, self.durations),
+        )
         self.in_flight[candidate.id] = pool, work
         self.backlog_by_pool[pool].add_recent(work)
         rate = self.rate_by_class[pool, work.rank.is_excess]
--- a/hingepitch/jobs/backlog.py
+++ b/hingepitch/jobs/backlog.py
@@ -15,15 +15,19 @@
 from math import inf
 from typing import NamedTuple
 
-from hingepitch.jobs.due import due_ms, is_late
+from hingepitch.jobs.due import decided_wait_ms, due_ms, is_late
 from hingepitch.jobs.ledger import NO_QUOTA
 from hingepitch.jobs.load import PoolLoad, add_minion
 
-__all__ = ["PoolBacklog", "Rank", "WaitingJob", "measure_backlogs", "waiting_job"]
-
-#: Time for which the quota of an account limits its work ahead of other accounts, in
-#: milliseconds. Admission decides on waits of a few seconds at most.
-QUOTA_HORIZON_MS = 5000
+__all__ = [
+    "PoolBacklog",
+    "QuotaBudget",
+    "Rank",
+    "WaitingJob",
+    "measure_backlogs",
+    "waiting_job",
+    "within_quota",
+]
 
 
 class Rank(NamedTuple):
@@ -136,7 +140,7 @@
     `usage_by_account`
         `AccountUsage` of the runs and of the waiting tasks that were taken.
     `core_ms_by_account`
-        Work that is left of `QUOTA_HORIZON_MS` with the whole quota in use.
+        Work that was taken, in core-milliseconds.
     """
 
     def __init__(self, ledger):
@@ -144,11 +148,15 @@
         self.usage_by_account = {}
         self.core_ms_by_account = {}
 
+    def has_limit(self, account):
+        """Whether an account, empty for none, has a quota."""
+        return bool(account) and self.ledger.quota(account) != NO_QUOTA
+
     def take_tasks(self, account, step, waiting):
         """Return how many of the waiting tasks of `step` may start; count them."""
-        quota = self.ledger.quota(account) if account else NO_QUOTA
-        if quota == NO_QUOTA:
+        if not self.has_limit(account):
             return waiting
+        quota = self.ledger.quota(account)
         usage = self.usage_by_account.get(account)
         if usage is None:
             usage = self.usage_by_account[account] = copy(self.ledger.usage(account))
@@ -156,14 +164,18 @@
         usage.add(step, count)
         return count
 
-    def take_work(self, account, core_ms):
-        """Return the part of a job's work that its account's quota allows soon."""
-        limit = self.ledger.quota(account).cpu_millicores if account else 0
+    def take_work(self, account, core_ms, horizon_ms):
+        """Return the part of a job's work that can be ahead of other accounts.
+
+        An account does no more work within `horizon_ms` than its quota allows.
+        """
+        limit = self.ledger.quota(account).cpu_millicores
         if not limit:
             return core_ms
-        left = self.core_ms_by_account.get(account, limit * QUOTA_HORIZON_MS / 1000)
-        self.core_ms_by_account[account] = max(0.0, left - core_ms)
-        return min(core_ms, left)
+        taken = self.core_ms_by_account.get(account, 0.0)
+        core_ms = min(core_ms, max(0.0, limit * horizon_ms / 1000 - taken))
+        self.core_ms_by_account[account] = taken + core_ms
+        return core_ms
 
 
 def amount_of(step, load):
@@ -180,13 +192,31 @@
     return WaitingJob(rank, core_ms, max(amounts))
 
 
-def measure_backlogs(table, now_ms, durations, is_excess):
+def within_quota(work, account, steps, load, quotas, horizon_ms):
+    """Return the part of the `WaitingJob` of a new job that a quota allows; count it.
+
+    Arguments as for `waiting_job` and `QuotaBudget.take_work`.
+    """
+    if not quotas.has_limit(account):
+        return work
+    widest = max(steps, key=lambda step: step.count * amount_of(step, load))
+    startable = quotas.take_tasks(account, widest, widest.count)
+    return WaitingJob(
+        work.rank,
+        quotas.take_work(account, work.core_ms, horizon_ms),
+        startable * amount_of(widest, load),
+    )
+
+
+def measure_backlogs(table, now_ms, durations, is_excess, quotas):
     """Return the `PoolBacklog` of each pool by name; walks all open work once.
 
     `now_ms`
         The current time, in milliseconds since the epoch.
     `is_excess`
         Function from the id of a job to whether it is beyond its account's rate.
+    `quotas`
+        A new `QuotaBudget`.
     """
     backlog_by_pool = {}
     for minion in table.minion_by_id.values():
@@ -195,7 +225,6 @@
             add_minion(backlog.load, table, minion)
     for run in table.run_by_task.values():
         add_run(backlog_by_pool, table, run, now_ms, durations)
-    quotas = QuotaBudget(table.ledger)
     for key in first_steps(table):
         add_job(backlog_by_pool, table, key, now_ms, durations, is_excess, quotas)
     for backlog in backlog_by_pool.values():
@@ -263,8 +292,11 @@
         widest = max(widest, amount)
         core_ms += amount * durations.expected_ms(queue.route, step) / 1000
         if (job_id, round_number, number) in table.ready_steps:
-            backlog.waiting_millicores += amount
-    core_ms = quotas.take_work(job.account, core_ms)
+            startable = quotas.take_tasks(job.account, step, waiting)
+            backlog.waiting_millicores += startable * amount_of(step, backlog.load)
+    if quotas.has_limit(job.account):
+        horizon_ms = decided_wait_ms(queue, job.spec.steps, durations)
+        core_ms = quotas.take_work(job.account, core_ms, horizon_ms)
     if core_ms:
         late = is_late(queue, job, round_number, step_number, now_ms, durations)
         due = due_ms(queue, job, round_number, durations)
--- a/hingepitch/jobs/due.py
+++ b/hingepitch/jobs/due.py
@@ -12,13 +12,16 @@
 
 from hingepitch.jobs.spec import critical_path_from_ms, critical_path_ms
 
-__all__ = ["due_ms", "is_late", "longest_wait_ms"]
+__all__ = ["decided_wait_ms", "due_ms", "is_late", "longest_wait_ms"]
 
 #: Margin, in standard errors above the expected run times, for classifying a round
 #: as late: four out of five rounds classified as late are so. Without a margin,
 #: jobs that could be on time would wait 8 s behind others.
 LATE_STANDARD_ERRORS = 0.84
 
+#: A response is worth nothing after this many times the objective of its job.
+WORTHLESS_OBJECTIVES = 3
+
 
 def round_begin_ms(job, round_number):
     """Return the time from which the deadline of a round counts.
@@ -77,3 +80,8 @@
     slack_ms = objectives * current_queue.stretch * chain - chain
     error = LATE_STANDARD_ERRORS * durations.error(current_queue.route)
     return objectives * current_queue.objective_ms + slack_ms * exp(error)
+
+
+def decided_wait_ms(current_queue, steps, durations):
+    """Return the longest wait for which admission control accepts a new job."""
+    return longest_wait_ms(current_queue, steps, durations, WORTHLESS_OBJECTIVES)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -12,6 +12,7 @@
 from hingepitch.jobs.account import Quota, digest_key
 from hingepitch.jobs.estimate import BoundEstimator
 from hingepitch.jobs.gauge import MAX_ESTIMATES
+from hingepitch.jobs.ledger import AccountLedger
 from hingepitch.jobs.question import GiveJob
 from hingepitch.jobs.retry import MAX_RETRY_MS, MIN_RETRY_MS, RetrySchedule
 from hingepitch.jobs.service import JobService
@@ -182,6 +183,39 @@
     assert leader.admission.backlog_by_pool["pool"].lasting == 2000
 
 
+# Guards against a pool that looks full because of work that a quota holds back.
+def test_work_that_a_quota_holds_back_leaves_a_pool_free(leader):
+    put_quota(leader, "plain", 3 * TASK.cpu_millicores)
+    leader.record(leader.question("plain", (replace(TASK, count=1),)))
+    leader.start_tasks()
+    leader.fill(500)
+    assert leader.code("small") is None
+    backlog = leader.admission.backlog_by_pool["pool"]
+    first_recent = backlog.recent[0].millicores
+    assert backlog.waiting_millicores - first_recent == 2 * TASK.cpu_millicores
+
+
+# Guards against a pool that looks full, until the next measurement, because of new jobs
+# that a quota holds back.
+def test_new_jobs_that_a_quota_holds_back_leave_a_pool_free(leader):
+    put_quota(leader, "plain", 3 * TASK.cpu_millicores)
+    assert [leader.code("plain") for _ in range(50)] == [None] * 50
+    backlog = leader.admission.backlog_by_pool["pool"]
+    assert backlog.waiting_millicores == 3 * TASK.cpu_millicores
+    assert leader.code("small") is None
+
+
+# Guards against a limit of the work of an account with a quota that ends before the
+# longest wait that is decided on, or after it.
+@pytest.mark.parametrize("objective_ms", [600, 6000])
+def test_the_work_that_a_quota_allows_lasts_as_long_as_a_job_may_wait(objective_ms):
+    backlog_jobs = [1000.0] * 100
+    quotas = backlogs.QuotaBudget(AccountLedger())
+    quotas.ledger.quota_by_account["plain"] = Quota(2000)
+    taken = sum(quotas.take_work("plain", one, objective_ms) for one in backlog_jobs)
+    assert taken == 2 * objective_ms
+
+
 # Guards against runs on minions that take no new ones, which would count against the
 # capacity of the others.
 def test_minions_that_take_no_new_runs_count_neither_as_room_nor_as_used(leader):
