Note the arrival and the estimate of a job once it is recorded

Cause: a job that the log refuses stayed in the measured arrival rate, which counts as ahead of late jobs, and its estimate stayed in the metrics.

Change: both are noted after the proposal has succeeded.

Weighed: removing them again after a failure. The estimates are bounded, and an arrival that was dropped by age could not be told from one to remove.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -147,6 +147,7 @@
             raise
         else:
             self.shares.confirm(self.table, question.id)
+            self.note_accepted(candidate, at_ms)
         finally:
             self.in_flight.pop(question.id, None)
 
@@ -310,10 +311,16 @@
         )
         self.in_flight[candidate.id] = pool, work
         self.backlog_by_pool[pool].add_recent(work)
-        rate = self.rate_by_class[pool, work.rank.is_excess]
+
+    def note_accepted(self, candidate, at_ms):
+        """Note the work that has arrived and the estimated end of a recorded job."""
+        if candidate is None or candidate.work is None:
+            return
+        queue, work = candidate.queue, candidate.work
+        rate = self.rate_by_class[queue.pool, work.rank.is_excess]
         rate.note(work.core_ms, self.clock())
         chain_ms = critical_path_ms(
-            candidate.steps, self.durations.queue_estimator(candidate.queue.route)
+            candidate.steps, self.durations.queue_estimator(queue.route)
         )
         if isfinite(candidate.wait_ms):
             end_ms = at_ms + candidate.wait_ms + chain_ms
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -269,6 +269,19 @@
     assert [leader.code("heavy") for _ in range(3)] == [None, None, "over_rate"]
 
 
+# Guards against jobs that the log refuses and that count as arriving work, by which
+# others are refused, or as estimates of ends that never come.
+def test_a_job_that_the_log_refuses_has_not_arrived(leader):
+    leader.failure = "queue_full"
+    assert [leader.code("plain") for _ in range(9)] == ["queue_full"] * 9
+    assert not any(rate.arrivals for rate in leader.admission.rate_by_class.values())
+    assert not leader.session.gauge.estimated_end_ms_by_job
+    leader.failure = None
+    assert leader.code("plain") is None
+    assert len(leader.admission.rate_by_class["pool", False].arrivals) == 1
+    assert len(leader.session.gauge.estimated_end_ms_by_job) == 1
+
+
 # Guards against jobs that are accepted though their end is worth nothing, and against
 # such refusals where the settings do not ask for them.
 @pytest.mark.parametrize("has_pressure", [True, False])
