Repeat no refusal without a confirmation of the leadership

Cause: the refusal that holds for a second was repeated without a check of the leadership, by a process that another leader may have replaced.

Change: it is repeated only after a recent confirmation, like a first refusal. Otherwise the proposal decides, and fails with not_leader if another leads.

Weighed: confirming the leadership for each repetition. It costs a round trip in overload, where the proposal decides anyway.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -337,7 +337,11 @@
             backlog.remove_recent(candidate.work)
 
     def raise_last_refusal(self, question):
-        """Refuse a job again that was refused within `MIN_RETRY_MS`."""
+        """Refuse a job again that was refused within `MIN_RETRY_MS`.
+
+        Without a recent confirmation of the leadership the proposal decides: another
+        leader may have accepted the job.
+        """
         now = self.clock()
         while self.refusal_by_call:
             call, (at, _) = next(iter(self.refusal_by_call.items()))
@@ -345,7 +349,7 @@
                 break
             del self.refusal_by_call[call]
         last = self.refusal_by_call.get((question.id, question.key))
-        if last is not None:
+        if last is not None and self.session.may_order():
             error = last[1]
             raise HingepitchError(error.code, error.detail, error.retry_after_ms)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -358,6 +358,17 @@
     assert question.id in leader.table.job_by_id
 
 
+# Guards against a refusal that is repeated by a leader that may have been replaced, for
+# a job that the next leader has accepted.
+def test_a_leader_without_confirmation_repeats_no_refusal(leader):
+    leader.fill(500)
+    question = leader.question("plain")
+    assert leader.ask(question).code == "cannot_finish"
+    leader.session.may_order = lambda: False
+    leader.failure = "not_leader"
+    assert leader.ask(question).code == "not_leader"
+
+
 # Guards against 429 or 503 for a job that an earlier attempt may have recorded.
 def test_a_job_with_an_unknown_outcome_is_never_refused(leader):
     question = leader.question("plain")
