Count a job in flight once while its proposal returns

Cause: a measurement between the application of a job and the return of its proposal found the job in the table and added it again.

Change: a measurement adds only the jobs in flight that the table does not have.

Weighed: ending the flight with the application. Admission does not see that moment.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -227,8 +227,10 @@
             pool: self.make_estimator(backlog, self.supply_by_pool[pool])
             for pool, backlog in self.backlog_by_pool.items()
         }
-        for pool, work in self.in_flight.values():
-            if pool in self.backlog_by_pool:
+        for job_id, (pool, work) in self.in_flight.items():
+            # A job is in the table before its proposal has returned.
+            is_measured = job_id in self.table.job_by_id
+            if pool in self.backlog_by_pool and not is_measured:
                 self.backlog_by_pool[pool].add_recent(work)
         self.arriving_by_class = {
             key: rate.millicores(now) for key, rate in self.rate_by_class.items()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -260,6 +260,22 @@
     assert bucket.tokens == 0
 
 
+# Guards against the work of a job that counts twice, between its application and the
+# return of its proposal.
+def test_a_job_in_flight_counts_once_whether_applied_or_not(leader):
+    question = leader.question("plain")
+    works = []
+    with leader.admission.admitting(question, leader.now_ms):
+        for record in (lambda _: None, leader.record):
+            record(question)
+            leader.now += 1
+            leader.admission.measure_if_due(leader.now_ms)
+            backlog = leader.admission.backlog_by_pool["pool"]
+            works.append((len(backlog.recent), backlog.waiting_millicores))
+    used = TASK.count * TASK.cpu_millicores
+    assert works == [(1, used), (0, used)]
+
+
 # Guards against a token that is lost with a job that the log refuses.
 def test_a_job_that_the_log_refuses_puts_its_token_back(leader):
     leader.fill(FULL)
