Keep the tokens of calls with one id of two accounts apart

Cause: a job that admission has counted was noted by its id only. A concurrent call with the same id, of another account or with another key, gave back the token of the first, and to its own account.

Change: the note is kept by id and account, and only the call that has taken a token gives it back.

Weighed: refusing the second call. The log decides between them.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -71,6 +71,8 @@
         Its `WaitingJob`.
     `wait_ms`
         Its estimated wait, once it has been judged.
+    `has_counted`
+        Whether it was counted for its account by this call.
     """
 
     id: str
@@ -81,6 +83,7 @@
     token_wait_ms: float
     work: WaitingJob | None = None
     wait_ms: float | None = None
+    has_counted: bool = False
 
 
 class Admission:
@@ -146,7 +149,6 @@
                 self.uncount(candidate)
             raise
         else:
-            self.shares.confirm(self.table, question.id)
             self.note_accepted(candidate, at_ms)
         finally:
             self.in_flight.pop(question.id, None)
@@ -189,7 +191,7 @@
 
         A job that is counted already, by an earlier attempt, keeps its place.
         """
-        if account is None or self.shares.is_excess_by_new_job.get(job_id) is False:
+        if account is None or self.shares.is_new_within_rate(account, job_id):
             return 0.0
         return self.shares.token_wait_ms(account, at_ms)
 
@@ -299,7 +301,9 @@
     def count(self, candidate, at_ms):
         """Count a job that is going to be recorded: its token and its work."""
         if candidate.account is not None:
-            self.shares.count_new(candidate.account, candidate.id, at_ms)
+            candidate.has_counted = self.shares.count_new(
+                candidate.account, candidate.id, at_ms
+            )
         if candidate.work is None:
             return
         pool = candidate.queue.pool
@@ -315,8 +319,12 @@
         self.backlog_by_pool[pool].add_recent(work)
 
     def note_accepted(self, candidate, at_ms):
-        """Note the work that has arrived and the estimated end of a recorded job."""
-        if candidate is None or candidate.work is None:
+        """Note the token, the arrival and the estimated end of a recorded job."""
+        if candidate is None:
+            return
+        if candidate.account is not None:
+            self.shares.confirm(self.table, candidate.account, candidate.id)
+        if candidate.work is None:
             return
         queue, work = candidate.queue, candidate.work
         rate = self.rate_by_class[queue.pool, work.rank.is_excess]
@@ -332,7 +340,7 @@
         """Undo `count` for a job that was certainly not recorded."""
         if candidate is None:
             return
-        if candidate.account is not None:
+        if candidate.has_counted:
             self.shares.uncount(candidate.account, candidate.id)
         backlog = self.backlog_by_pool.get(candidate.queue.pool)
         if backlog is not None and candidate.work is not None:
--- a/hingepitch/jobs/share.py
+++ b/hingepitch/jobs/share.py
@@ -62,7 +62,7 @@
         that have had a ready step.
     `is_excess_by_new_job`
         The same for the jobs that admission has counted and that are not yet known
-        to be accepted.
+        to be accepted, by id and account: two accounts may send one id.
     """
 
     def __init__(self, note_excess=lambda job: None):
@@ -89,7 +89,7 @@
 
     def is_counted_excess(self, table, job):
         """Whether a job is beyond the rate; count it unless admission has done so."""
-        is_excess = self.is_excess_by_new_job.pop(job.id, None)
+        is_excess = self.is_excess_by_new_job.pop((job.id, job.account), None)
         if is_excess is None:
             return self.is_excess(table, job)
         if is_excess:
@@ -128,28 +128,40 @@
         tokens = self.bucket(account, now_ms).refill(account.weight, now_ms)
         return max(0.0, 1000 * (1 - tokens) / account.weight)
 
+    def is_new_within_rate(self, account, job_id):
+        """Whether admission has counted a new job as within the rate of an account."""
+        return self.is_excess_by_new_job.get((job_id, account.name)) is False
+
     def count_new(self, account, job_id, now_ms):
-        """Count a job before it is accepted; return whether it is beyond the rate.
+        """Count a job before it is accepted; return whether this call has counted it.
 
         A job that was counted already, by an earlier attempt, keeps its place.
         """
-        known = self.is_excess_by_job.get(job_id, self.is_excess_by_new_job.get(job_id))
-        if known is not None:
-            return known
+        key = job_id, account.name
+        if job_id in self.is_excess_by_job or key in self.is_excess_by_new_job:
+            return False
         bucket = self.bucket(account, now_ms)
-        is_excess = not bucket.take(account.weight, now_ms)
-        self.is_excess_by_new_job[job_id] = is_excess
-        return is_excess
+        self.is_excess_by_new_job[key] = not bucket.take(account.weight, now_ms)
+        return True
 
     def uncount(self, account, job_id):
-        """Undo `count_new` for a job that was certainly not accepted."""
-        if self.is_excess_by_new_job.pop(job_id, None) is False:
+        """Undo `count_new` for a job that was certainly not accepted.
+
+        Only for the call that has counted it: another may still be recording it.
+        """
+        if self.is_excess_by_new_job.pop((job_id, account.name), None) is False:
             self.bucket(account, 0).put_back(account.weight)
 
-    def confirm(self, table, job_id):
-        """Note that a job was accepted: it is forgotten with its record."""
-        is_excess = self.is_excess_by_new_job.pop(job_id, None)
+    def confirm(self, table, account, job_id):
+        """Note that a job of an account was accepted: it is forgotten with its record.
+
+        If another account's call with this id was accepted instead, undo the count.
+        """
         job = table.job_by_id.get(job_id)
+        if job is not None and job.account != account.name:
+            self.uncount(account, job_id)
+            return
+        is_excess = self.is_excess_by_new_job.pop((job_id, account.name), None)
         if is_excess is not None and job is not None:
             self.is_excess_by_job.setdefault(job_id, is_excess)
             if is_excess:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -276,6 +276,43 @@
     assert works == [(1, used), (0, used)]
 
 
+# Guards against two concurrent calls with one id of two accounts that mix up their
+# tokens, whichever of them the log refuses.
+@pytest.mark.parametrize("accounts", [("heavy", "small"), ("small", "heavy")])
+def test_calls_with_one_id_of_two_accounts_keep_to_their_tokens(leader, accounts):
+    shares = leader.session.planner.shares
+    accepted = leader.question(accounts[0])
+    refused = msgspec_replace(
+        accepted, key=digest_key(f"key-of-{accounts[1]}".encode())
+    )
+    with leader.admission.admitting(accepted, leader.now_ms):
+        with (
+            pytest.raises(HingepitchError),
+            leader.admission.admitting(refused, leader.now_ms),
+        ):
+            raise HingepitchError("queue_full")
+        leader.record(accepted)
+    assert not shares.excess_jobs(leader.table)
+    taken = [RATES[one] - shares.bucket_by_account[one].tokens for one in accounts]
+    assert taken == [1, 0]
+    assert not shares.is_excess_by_new_job
+
+
+# Guards against a call that gives back the token of another call, of the same account,
+# that is still being recorded.
+def test_a_call_gives_back_only_its_own_token(leader):
+    shares = leader.session.planner.shares
+    question = leader.question("heavy")
+    with leader.admission.admitting(question, leader.now_ms):
+        with (
+            pytest.raises(HingepitchError),
+            leader.admission.admitting(question, leader.now_ms),
+        ):
+            raise HingepitchError("queue_full")
+        leader.record(question)
+    assert shares.bucket_by_account["heavy"].tokens == RATES["heavy"] - 1
+
+
 # Guards against a token that is lost with a job that the log refuses.
 def test_a_job_that_the_log_refuses_puts_its_token_back(leader):
     leader.fill(FULL)
