Bound the time of a measurement of the backlog

Change: above 1,000 rounds a random sample of as many stands for all. Rounds with long-running tasks are all measured. Remaining times are worked out when read.

Weighed: to stop counting after some work ahead. What is more urgent may come last in the order of the walk. To add the remainder of the runs to the bound: large pools have thousands of runs, and in doubt a job is accepted.

--- a/hingepitch/jobs/backlog.py
+++ b/hingepitch/jobs/backlog.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 from math import inf
+from random import Random
 from typing import NamedTuple
 
 from hingepitch.jobs.due import decided_wait_ms, due_ms, is_late
@@ -29,6 +30,10 @@
     "within_quota",
 ]
 
+#: Number of rounds above which a sample of them is measured: the event loop stands
+#: still during a measurement.
+MAX_MEASURED_ROUNDS = 1000
+
 
 class Rank(NamedTuple):
     """Place of a job in the order of urgency, as `plan.urgency` orders its steps.
@@ -57,18 +62,37 @@
     millicores: float = 0.0
 
 
+class OpenRun(NamedTuple):
+    """A run of a task that will end.
+
+    `route`
+        The route of its queue.
+    `started_ms`
+        Time of its start, in milliseconds since the epoch.
+    """
+
+    route: tuple
+    step: object
+    started_ms: int
+    millicores: float
+
+
 @dataclass(slots=True)
 class PoolBacklog:
     """The work of one pool at one moment, and what was accepted since.
 
+    `now_ms`
+        Time of the measurement, in milliseconds since the epoch.
+    `durations`
+        The `Durations`, for `runs`.
     `load`
         The `PoolLoad`, with the capacity of its minions.
     `lasting`
         Millicores that long-running tasks use or wait for.
-    `runs`
-        Remaining time in milliseconds and millicores of each run that will end.
+    `open_runs`
+        The `OpenRun` of each run that will end.
     `running`
-        Sum of the millicores of `runs`.
+        Sum of the millicores of `open_runs`.
     `waiting`
         The `WaitingJob`s; sorted after `seal`.
     `waiting_millicores`
@@ -79,9 +103,11 @@
         The `WaitingJob`s that were accepted since, sorted.
     """
 
+    now_ms: int = 0
+    durations: object = None
     load: PoolLoad = field(default_factory=PoolLoad)
     lasting: int = 0
-    runs: list[tuple[float, int]] = field(default_factory=list)
+    open_runs: list[OpenRun] = field(default_factory=list)
     running: float = 0
     waiting: list[WaitingJob] = field(default_factory=list)
     waiting_millicores: int = 0
@@ -93,6 +119,14 @@
         """Millicores of the pool that long-running tasks leave."""
         return max(0, self.load.room - self.lasting)
 
+    @property
+    def runs(self):
+        """The remaining milliseconds and the millicores of each open run."""
+        for route, step, started_ms, millicores in self.open_runs:
+            expected_ms = self.durations.expected_ms(route, step)
+            elapsed_ms = max(0, self.now_ms - started_ms)
+            yield max(0.0, expected_ms - elapsed_ms), millicores
+
     @property
     def free(self):
         """Millicores that neither runs nor ready tasks will use."""
@@ -209,7 +243,9 @@
 
 
 def measure_backlogs(table, now_ms, durations, is_excess, quotas):
-    """Return the `PoolBacklog` of each pool by name; walks all open work once.
+    """Return the `PoolBacklog` of each pool by name.
+
+    Walks all open work once; of a long backlog, a sample stands for the whole.
 
     `now_ms`
         The current time, in milliseconds since the epoch.
@@ -221,17 +257,41 @@
     backlog_by_pool = {}
     for minion in table.minion_by_id.values():
         if minion.hall not in table.cordons:
-            backlog = backlog_by_pool.setdefault(minion.pool, PoolBacklog())
+            backlog = backlog_by_pool.setdefault(
+                minion.pool, PoolBacklog(now_ms, durations)
+            )
             add_minion(backlog.load, table, minion)
     for run in table.run_by_task.values():
-        add_run(backlog_by_pool, table, run, now_ms, durations)
-    for key in first_steps(table):
-        add_job(backlog_by_pool, table, key, now_ms, durations, is_excess, quotas)
+        add_run(backlog_by_pool, table, run)
+    for key, weight in sample_rounds(table):
+        add_job(
+            backlog_by_pool, table, key, now_ms, durations, is_excess, quotas, weight
+        )
     for backlog in backlog_by_pool.values():
         backlog.seal()
     return backlog_by_pool
 
 
+def sample_rounds(table):
+    """Yield a step of each measured round and how many rounds it stands for.
+
+    Rounds with long-running tasks are all measured: one of them may fill a pool.
+    """
+    others = []
+    for key in first_steps(table):
+        job = table.job_by_id.get(key[0])
+        if job and any(step.lasts for step in job.spec.steps):
+            yield key, 1
+        else:
+            others.append(key)
+    count = len(others)
+    if count > MAX_MEASURED_ROUNDS:
+        # Random, since every n-th round may be of the same account.
+        others = Random(count).sample(others, MAX_MEASURED_ROUNDS)
+    for key in others:
+        yield key, count / len(others)
+
+
 def first_steps(table):
     """Return one step of each round that has ready steps or runs."""
     step_by_round = {}
@@ -242,7 +302,7 @@
     return step_by_round.values()
 
 
-def add_run(backlog_by_pool, table, run, now_ms, durations):
+def add_run(backlog_by_pool, table, run):
     """Add a run to the backlog of its pool, unless its minion takes no new runs."""
     minion = table.minion_by_id.get(run.minion)
     job = table.job_by_id.get(run.task.job)
@@ -257,17 +317,20 @@
     if step.lasts:
         backlog.lasting += amount
         return
-    expected_ms = durations.expected_ms(table.current_queue(job).route, step)
-    left_ms = max(0.0, expected_ms - max(0, now_ms - run.started_ms))
-    backlog.runs.append((left_ms, amount))
+    route = table.current_queue(job).route
+    backlog.open_runs.append(OpenRun(route, step, run.started_ms, amount))
     backlog.running += amount
 
 
-def add_job(backlog_by_pool, table, step_key, now_ms, durations, is_excess, quotas):
+def add_job(
+    backlog_by_pool, table, step_key, now_ms, durations, is_excess, quotas, weight
+):
     """Add the waiting work of a round, later steps included, to its pool's backlog.
 
     `quotas`
         The `QuotaBudget` of this measurement.
+    `weight`
+        Number of rounds that this one stands for.
     """
     job_id, round_number, step_number = step_key
     job = table.job_by_id.get(job_id)
@@ -283,13 +346,13 @@
         if not opened.left_by_step[number] or not backlog.load.can_hold(step):
             continue
         runs = table.run_counts_by_step.get((job_id, round_number, number), {})
-        waiting = max(0, opened.left_by_step[number] - sum(runs.values()))
+        waiting = weight * max(0, opened.left_by_step[number] - sum(runs.values()))
         amount = waiting * amount_of(step, backlog.load)
         if step.lasts:
             startable = quotas.take_tasks(job.account, step, waiting)
             backlog.lasting += startable * amount_of(step, backlog.load)
             continue
-        widest = max(widest, amount)
+        widest = max(widest, amount / weight)
         core_ms += amount * durations.expected_ms(queue.route, step) / 1000
         if (job_id, round_number, number) in table.ready_steps:
             startable = quotas.take_tasks(job.account, step, waiting)
