Tidy admission control

Cause: the deadline, the critical path and the work of a job were computed in more than one place; knows_enough read as a predicate but measured; attributes lacked doc comments.

Change: deadline_ms and work_core_ms are shared, the critical path is kept with the Candidate, which has its own module, and the measurement is a step of check. No behaviour changes.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -10,7 +10,6 @@
 
 from collections import defaultdict
 from contextlib import contextmanager
-from dataclasses import dataclass
 from math import isfinite
 
 from hingepitch.clock import lease_seconds
@@ -20,15 +19,14 @@
 from hingepitch.jobs.backlog import (
     QuotaBudget,
     Rank,
-    WaitingJob,
     measure_backlogs,
     waiting_job,
     within_quota,
 )
+from hingepitch.jobs.candidate import Candidate
 from hingepitch.jobs.client import UNKNOWN_OUTCOME_CODES
-from hingepitch.jobs.due import decided_wait_ms, longest_wait_ms
+from hingepitch.jobs.due import deadline_ms, decided_wait_ms, longest_wait_ms
 from hingepitch.jobs.estimate import BoundEstimator, Supply
-from hingepitch.jobs.queue import Queue
 from hingepitch.jobs.retry import MIN_RETRY_MS, RetrySchedule
 from hingepitch.jobs.spec import critical_path_ms
 from hingepitch.log import log_event
@@ -50,42 +48,12 @@
 #: Time until the mover orders a VM that a pool lacks, in seconds.
 ORDER_SECONDS = 0.1
 
-
 #: Part of the work arriving within the rates that counts as ahead of a job beyond its
 #: rate which is not late: some of it gets late, and then no longer goes ahead. With all
 #: of it, less work is done in time in overload.
 ARRIVING_PART = 0.5
 
 
-@dataclass(slots=True)
-class Candidate:
-    """A new job on which admission decides.
-
-    `caller`
-        Name of the account of its caller, or empty.
-    `account`
-        The `ClientAccount` whose rate it counts for, or None.
-    `token_wait_ms`
-        Time until its account has a token for it; 0 if it is within the rate.
-    `work`
-        Its `WaitingJob`.
-    `wait_ms`
-        Its estimated wait, once it has been judged.
-    `has_counted`
-        Whether it was counted for its account by this call.
-    """
-
-    id: str
-    caller: str
-    account: object
-    queue: Queue
-    steps: tuple
-    token_wait_ms: float
-    work: WaitingJob | None = None
-    wait_ms: float | None = None
-    has_counted: bool = False
-
-
 class Admission:
     """Decides during one leadership which new jobs are refused.
 
@@ -102,6 +70,15 @@
         The last measurement.
     `quotas`
         The `QuotaBudget` of the last measurement and of what was accepted since.
+    `arriving_by_class`
+        Millicores that arriving work needed at the last measurement, by pool and
+        whether it is beyond the rate of its account.
+    `rate_by_class`
+        The `ArrivalRate` of the same.
+    `next_measurement`
+        Time of the next measurement at the earliest, as `clock` tells it.
+    `retries`
+        The `RetrySchedule` of the refused callers.
     `in_flight`
         The pool and `WaitingJob` of each job that is being recorded in the log, by id.
     `refusal_by_call`
@@ -160,17 +137,22 @@
             The time of its acceptance, in milliseconds since the epoch.
         """
         queue = self.table.queues.find(question.host, question.path)
-        steps = question.spec.steps
-        is_exempt = question.spec.times or any(step.lasts for step in steps)
+        spec = question.spec
+        is_exempt = spec.times or any(step.lasts for step in spec.steps)
         if queue is None or is_exempt:
             return None
         self.raise_last_refusal(question)
         caller = self.caller_of(question)
         account = self.account_of(caller)
         token_wait_ms = self.token_wait_ms(account, question.id, at_ms)
-        candidate = Candidate(question.id, caller, account, queue, steps, token_wait_ms)
-        if self.knows_enough(queue, at_ms):
-            code = self.judge(candidate, at_ms)
+        expected_ms = self.durations.queue_estimator(queue.route)
+        chain_ms = critical_path_ms(spec.steps, expected_ms)
+        candidate = Candidate(
+            question.id, caller, account, queue, spec, chain_ms, token_wait_ms
+        )
+        if self.is_informed(queue):
+            self.measure_if_due(at_ms)
+            code = self.judge(candidate, at_ms) if self.has_room(queue.pool) else None
             if code and self.session.may_order():
                 self.refuse(question, candidate, code)
         self.count(candidate, at_ms)
@@ -195,14 +177,14 @@
             return 0.0
         return self.shares.token_wait_ms(account, at_ms)
 
-    def knows_enough(self, queue, at_ms):
-        """Whether this leadership knows the demand, the run times and the minions."""
-        if not self.session.mover.demand.is_known(self.clock()):
-            return False
-        if not self.session.durations.is_known(queue.route):
-            return False
-        self.measure_if_due(at_ms)
-        backlog = self.backlog_by_pool.get(queue.pool)
+    def is_informed(self, queue):
+        """Whether this leadership knows the demand and the run times of a queue."""
+        is_known = self.session.mover.demand.is_known(self.clock())
+        return is_known and self.durations.is_known(queue.route)
+
+    def has_room(self, pool):
+        """Whether a measured pool has room enough for an estimate."""
+        backlog = self.backlog_by_pool.get(pool)
         if backlog is None or not backlog.load.minions:
             return False
         vm_room = backlog.load.room / backlog.load.minions
@@ -255,26 +237,25 @@
 
     def judge(self, candidate, at_ms):
         """Return the error code with which a job is refused, or None."""
-        queue, steps, durations = candidate.queue, candidate.steps, self.durations
+        queue, chain_ms = candidate.queue, candidate.chain_ms
         backlog = self.backlog_by_pool[queue.pool]
-        expected_ms = durations.queue_estimator(queue.route)
-        chain_ms = critical_path_ms(steps, expected_ms)
-        due_ms = at_ms + queue.objective_ms + queue.stretch * chain_ms
+        expected_ms = self.durations.queue_estimator(queue.route)
+        due_ms = deadline_ms(queue, at_ms, chain_ms)
         rank = Rank(queue.priority, candidate.token_wait_ms > 0, False, due_ms)
-        candidate.work = waiting_job(rank, steps, backlog.load, expected_ms)
+        candidate.work = waiting_job(rank, candidate.spec, backlog.load, expected_ms)
         # A job that is wide for its pool takes longer than its critical path.
         own_ms = self.supply_by_pool[queue.pool].drain_ms(candidate.work.core_ms)
         longer_ms = max(0.0, own_ms - chain_ms)
         others_ms = self.wait_ms(queue.pool, rank)
         candidate.wait_ms = others_ms + longer_ms
-        if candidate.wait_ms <= longest_wait_ms(queue, steps, durations):
+        if candidate.wait_ms <= longest_wait_ms(queue, chain_ms, self.durations):
             return None
         # A job that is late by its own work alone would be so at any rate.
         if rank.is_excess and others_ms > 0:
             return "over_rate"
         late_rank = rank._replace(is_late=True)
         candidate.wait_ms = self.wait_ms(queue.pool, late_rank) + longer_ms
-        limit_ms = decided_wait_ms(queue, steps, durations)
+        limit_ms = decided_wait_ms(queue, chain_ms, self.durations)
         if self.session.terms.has_pressure and candidate.wait_ms > limit_ms:
             return "cannot_finish"
         return None
@@ -310,10 +291,10 @@
         work = candidate.work = within_quota(
             candidate.work,
             candidate.caller,
-            candidate.steps,
+            candidate.spec,
             self.backlog_by_pool[pool].load,
             self.quotas,
-            decided_wait_ms(candidate.queue, candidate.steps, self.durations),
+            decided_wait_ms(candidate.queue, candidate.chain_ms, self.durations),
         )
         self.in_flight[candidate.id] = pool, work
         self.backlog_by_pool[pool].add_recent(work)
@@ -329,11 +310,8 @@
         queue, work = candidate.queue, candidate.work
         rate = self.rate_by_class[queue.pool, work.rank.is_excess]
         rate.note(work.core_ms, self.clock())
-        chain_ms = critical_path_ms(
-            candidate.steps, self.durations.queue_estimator(queue.route)
-        )
         if isfinite(candidate.wait_ms):
-            end_ms = at_ms + candidate.wait_ms + chain_ms
+            end_ms = at_ms + candidate.wait_ms + candidate.chain_ms
             self.session.gauge.note_estimate(candidate.id, end_ms)
 
     def uncount(self, candidate):
@@ -375,7 +353,7 @@
             place, wait_ms = candidate.account.name, candidate.token_wait_ms
             spacing_ms = 1000 / candidate.account.weight
         else:
-            limit_ms = longest_wait_ms(queue, candidate.steps, self.durations)
+            limit_ms = longest_wait_ms(queue, candidate.chain_ms, self.durations)
             place, wait_ms = queue.pool, candidate.wait_ms - limit_ms
             spacing_ms = 1000 * work.core_ms / backlog.room
         retry_ms = self.retries.reserve((code, place), wait_ms, spacing_ms, 1000 * now)
--- a/hingepitch/jobs/arrival.py
+++ b/hingepitch/jobs/arrival.py
@@ -10,6 +10,7 @@
 
 from collections import deque
 from math import sqrt
+from operator import attrgetter
 
 __all__ = ["ArrivalRate", "work_core_ms"]
 
@@ -24,7 +25,7 @@
 SUBTRACTED_ERRORS = 0.5
 
 
-def work_core_ms(spec, expected_ms):
+def work_core_ms(spec, expected_ms, millicores_of=attrgetter("counted_millicores")):
     """Return the work of a job, in core-milliseconds.
 
     Long-running tasks do not count, since they never end.
@@ -33,9 +34,11 @@
         The job's specification.
     `expected_ms`
         Function from a step to the expected run time of one of its tasks.
+    `millicores_of`
+        Function from a step to what one of its tasks uses.
     """
     total = sum(
-        step.count * step.counted_millicores * expected_ms(step)
+        step.count * millicores_of(step) * expected_ms(step)
         for step in spec.steps
         if not step.lasts
     )
--- a/hingepitch/jobs/backlog.py
+++ b/hingepitch/jobs/backlog.py
@@ -16,9 +16,11 @@
 from random import Random
 from typing import NamedTuple
 
+from hingepitch.jobs.arrival import work_core_ms
 from hingepitch.jobs.due import decided_wait_ms, due_ms, is_late
 from hingepitch.jobs.ledger import NO_QUOTA
 from hingepitch.jobs.load import PoolLoad, add_minion
+from hingepitch.jobs.spec import critical_path_ms
 
 __all__ = [
     "PoolBacklog",
@@ -218,22 +220,24 @@
     return max(step.counted_millicores, from_memory)
 
 
-def waiting_job(rank, steps, load, expected_ms):
-    """Return the `WaitingJob` of a new job with `steps`."""
-    amounts = [step.count * amount_of(step, load) for step in steps]
-    pairs = list(zip(steps, amounts, strict=True))
-    core_ms = sum(amount * expected_ms(step) for step, amount in pairs) / 1000
-    return WaitingJob(rank, core_ms, max(amounts))
+def waiting_job(rank, spec, load, expected_ms):
+    """Return the `WaitingJob` of a new job with a `JobSpec`."""
 
+    def millicores_of(step):
+        return amount_of(step, load)
 
-def within_quota(work, account, steps, load, quotas, horizon_ms):
+    widest = max(step.count * millicores_of(step) for step in spec.steps)
+    return WaitingJob(rank, work_core_ms(spec, expected_ms, millicores_of), widest)
+
+
+def within_quota(work, account, spec, load, quotas, horizon_ms):
     """Return the part of the `WaitingJob` of a new job that a quota allows; count it.
 
     Arguments as for `waiting_job` and `QuotaBudget.take_work`.
     """
     if not quotas.has_limit(account):
         return work
-    widest = max(steps, key=lambda step: step.count * amount_of(step, load))
+    widest = max(spec.steps, key=lambda step: step.count * amount_of(step, load))
     startable = quotas.take_tasks(account, widest, widest.count)
     return WaitingJob(
         work.rank,
@@ -358,7 +362,10 @@
             startable = quotas.take_tasks(job.account, step, waiting)
             backlog.waiting_millicores += startable * amount_of(step, backlog.load)
     if quotas.has_limit(job.account):
-        horizon_ms = decided_wait_ms(queue, job.spec.steps, durations)
+        chain_ms = critical_path_ms(
+            job.spec.steps, durations.queue_estimator(queue.route)
+        )
+        horizon_ms = decided_wait_ms(queue, chain_ms, durations)
         core_ms = quotas.take_work(job.account, core_ms, horizon_ms)
     if core_ms:
         late = is_late(queue, job, round_number, step_number, now_ms, durations)
--- a/hingepitch/jobs/due.py
+++ b/hingepitch/jobs/due.py
@@ -12,7 +12,7 @@
 
 from hingepitch.jobs.spec import critical_path_from_ms, critical_path_ms
 
-__all__ = ["decided_wait_ms", "due_ms", "is_late", "longest_wait_ms"]
+__all__ = ["deadline_ms", "decided_wait_ms", "due_ms", "is_late", "longest_wait_ms"]
 
 #: Margin, in standard errors above the expected run times, for classifying a round
 #: as late: four out of five rounds classified as late are so. Without a margin,
@@ -43,8 +43,16 @@
     chain = critical_path_ms(
         job.spec.steps, durations.queue_estimator(current_queue.route)
     )
-    begin = round_begin_ms(job, round_number)
-    return begin + current_queue.objective_ms + current_queue.stretch * chain
+    return deadline_ms(current_queue, round_begin_ms(job, round_number), chain)
+
+
+def deadline_ms(current_queue, begin_ms, chain_ms):
+    """Return the deadline of work on a queue that counts from `begin_ms`.
+
+    `chain_ms`
+        Expected time of its critical path, in milliseconds.
+    """
+    return begin_ms + current_queue.objective_ms + current_queue.stretch * chain_ms
 
 
 def is_late(current_queue, job, round_number, step_number, now_ms, durations):
@@ -69,19 +77,19 @@
     )
 
 
-def longest_wait_ms(current_queue, steps, durations, objectives=1):
+def longest_wait_ms(current_queue, chain_ms, durations, objectives=1):
     """Return how long a new job may wait until `is_late` would hold for it.
 
+    `chain_ms`
+        Expected time of its critical path, in milliseconds.
     `objectives`
         How many times its objective the job may take, its critical path included.
     """
-    expected_ms = durations.queue_estimator(current_queue.route)
-    chain = critical_path_ms(steps, expected_ms)
-    slack_ms = objectives * current_queue.stretch * chain - chain
+    slack_ms = objectives * current_queue.stretch * chain_ms - chain_ms
     error = LATE_STANDARD_ERRORS * durations.error(current_queue.route)
     return objectives * current_queue.objective_ms + slack_ms * exp(error)
 
 
-def decided_wait_ms(current_queue, steps, durations):
+def decided_wait_ms(current_queue, chain_ms, durations):
     """Return the longest wait for which admission control accepts a new job."""
-    return longest_wait_ms(current_queue, steps, durations, WORTHLESS_OBJECTIVES)
+    return longest_wait_ms(current_queue, chain_ms, durations, WORTHLESS_OBJECTIVES)
