Keep the work of calls with one id of two accounts apart

Cause: the work in flight was kept by the job's id only, so the end of one account's call dropped the work of a concurrent call of another account.

Change: it is kept by id and caller.

Weighed: nothing else; calls with the same key wait for each other already.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -80,7 +80,8 @@
     `retries`
         The `RetrySchedule` of the refused callers.
     `in_flight`
-        The pool and `WaitingJob` of each job that is being recorded in the log, by id.
+        The pool and `WaitingJob` of each job that is being recorded in the log, by id
+        and caller.
     `refusal_by_call`
         Time and error of the last refusals, by id and key. For as long as callers are
         told to wait at least, another attempt of the same call, which may have been
@@ -128,7 +129,8 @@
         else:
             self.note_accepted(candidate, at_ms)
         finally:
-            self.in_flight.pop(question.id, None)
+            if candidate is not None:
+                self.in_flight.pop((candidate.id, candidate.caller), None)
 
     def check(self, question, at_ms):
         """Return the `Candidate` of a new job, or None if nothing is known of it.
@@ -211,7 +213,7 @@
             pool: self.make_estimator(backlog, self.supply_by_pool[pool])
             for pool, backlog in self.backlog_by_pool.items()
         }
-        for job_id, (pool, work) in self.in_flight.items():
+        for (job_id, _), (pool, work) in self.in_flight.items():
             # A job is in the table before its proposal has returned.
             is_measured = job_id in self.table.job_by_id
             if pool in self.backlog_by_pool and not is_measured:
@@ -296,7 +298,7 @@
             self.quotas,
             decided_wait_ms(candidate.queue, candidate.chain_ms, self.durations),
         )
-        self.in_flight[candidate.id] = pool, work
+        self.in_flight[candidate.id, candidate.caller] = pool, work
         self.backlog_by_pool[pool].add_recent(work)
 
     def note_accepted(self, candidate, at_ms):
--- a/tests/test_admission_measure.py
+++ b/tests/test_admission_measure.py
@@ -125,6 +125,7 @@
             leader.admission.admitting(refused, leader.now_ms),
         ):
             raise HingepitchError("queue_full")
+        assert len(leader.admission.in_flight) == 1
         leader.record(accepted)
     assert not shares.excess_jobs(leader.table)
     taken = [RATES[one] - shares.bucket_by_account[one].tokens for one in accounts]
