--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -10,18 +10,23 @@
 
 from collections import defaultdict
 from contextlib import contextmanager
-from dataclasses import dataclass
 from math import isfinite
 
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.account import find_caller
 from hingepitch.jobs.arrival import ArrivalRate
-from hingepitch.jobs.backlog import Rank, WaitingJob, measure_backlogs, waiting_job
+from hingepitch.jobs.backlog import (
+    QuotaBudget,
+    Rank,
+    measure_backlogs,
+    waiting_job,
+    within_quota,
+)
+from hingepitch.jobs.candidate import Candidate
 from hingepitch.jobs.client import UNKNOWN_OUTCOME_CODES
-from hingepitch.jobs.due import longest_wait_ms
+from hingepitch.jobs.due import deadline_ms, decided_wait_ms, longest_wait_ms
 from hingepitch.jobs.estimate import BoundEstimator, Supply
-from hingepitch.jobs.queue import Queue
 from hingepitch.jobs.retry import MIN_RETRY_MS, RetrySchedule
 from hingepitch.jobs.spec import critical_path_ms
 from hingepitch.log import log_event
@@ -36,42 +41,19 @@
 #: one, so that measurements use at most a tenth of the CPU.
 MEASURE_PAUSE_FACTOR = 9
 
-#: A response is worth nothing after this many times the objective of its job.
-WORTHLESS_OBJECTIVES = 3
+#: Room below which nothing is refused, in VMs: if long-running tasks fill a pool, the
+#: estimate divides by the little that they leave, where a task may not even fit.
+MIN_ROOM_VMS = 0.5
 
 #: Time until the mover orders a VM that a pool lacks, in seconds.
 ORDER_SECONDS = 0.1
 
-
 #: Part of the work arriving within the rates that counts as ahead of a job beyond its
 #: rate which is not late: some of it gets late, and then no longer goes ahead. With all
 #: of it, less work is done in time in overload.
 ARRIVING_PART = 0.5
 
 
-@dataclass(slots=True)
-class Candidate:
-    """A new job on which admission decides.
-
-    `account`
-        The `ClientAccount` whose rate it counts for, or None.
-    `token_wait_ms`
-        Time until its account has a token for it; 0 if it is within the rate.
-    `work`
-        Its `WaitingJob`.
-    `wait_ms`
-        Its estimated wait, once it has been judged.
-    """
-
-    id: str
-    account: object
-    queue: Queue
-    steps: tuple
-    token_wait_ms: float
-    work: WaitingJob | None = None
-    wait_ms: float | None = None
-
-
 class Admission:
     """Decides during one leadership which new jobs are refused.
 
@@ -84,10 +66,22 @@
         Function that returns a monotonic time in seconds.
     `make_estimator`
         Function from a `PoolBacklog` and a `Supply` to an estimator of waits.
-    `backlog_by_pool`, `estimator_by_pool`
+    `backlog_by_pool`, `supply_by_pool`, `estimator_by_pool`
         The last measurement.
+    `quotas`
+        The `QuotaBudget` of the last measurement and of what was accepted since.
+    `arriving_by_class`
+        Millicores that arriving work needed at the last measurement, by pool and
+        whether it is beyond the rate of its account.
+    `rate_by_class`
+        The `ArrivalRate` of the same.
+    `next_measurement`
+        Time of the next measurement at the earliest, as `clock` tells it.
+    `retries`
+        The `RetrySchedule` of the refused callers.
     `in_flight`
-        The pool and `WaitingJob` of each job that is being recorded in the log, by id.
+        The pool and `WaitingJob` of each job that is being recorded in the log, by id
+        and caller.
     `refusal_by_call`
         Time and error of the last refusals, by id and key. For as long as callers are
         told to wait at least, another attempt of the same call, which may have been
@@ -99,6 +93,8 @@
         self.clock = clock
         self.make_estimator = make_estimator
         self.backlog_by_pool = {}
+        self.quotas = None
+        self.supply_by_pool = {}
         self.estimator_by_pool = {}
         self.arriving_by_class = {}
         self.rate_by_class = defaultdict(ArrivalRate)
@@ -131,9 +127,10 @@
                 self.uncount(candidate)
             raise
         else:
-            self.shares.confirm(self.table, question.id)
+            self.note_accepted(candidate, at_ms)
         finally:
-            self.in_flight.pop(question.id, None)
+            if candidate is not None:
+                self.in_flight.pop((candidate.id, candidate.caller), None)
 
     def check(self, question, at_ms):
         """Return the `Candidate` of a new job, or None if nothing is known of it.
@@ -142,27 +139,35 @@
             The time of its acceptance, in milliseconds since the epoch.
         """
         queue = self.table.queues.find(question.host, question.path)
-        steps = question.spec.steps
-        is_exempt = question.spec.times or any(step.lasts for step in steps)
+        spec = question.spec
+        is_exempt = spec.times or any(step.lasts for step in spec.steps)
         if queue is None or is_exempt:
             return None
         self.raise_last_refusal(question)
-        account = self.account_of(question)
+        caller = self.caller_of(question)
+        account = self.account_of(caller)
         token_wait_ms = self.token_wait_ms(account, question.id, at_ms)
-        candidate = Candidate(question.id, account, queue, steps, token_wait_ms)
-        if self.knows_enough(queue, at_ms):
-            code = self.judge(candidate, at_ms)
+        expected_ms = self.durations.queue_estimator(queue.route)
+        chain_ms = critical_path_ms(spec.steps, expected_ms)
+        candidate = Candidate(
+            question.id, caller, account, queue, spec, chain_ms, token_wait_ms
+        )
+        if self.is_informed(queue):
+            self.measure_if_due(at_ms)
+            code = self.judge(candidate, at_ms) if self.has_room(queue.pool) else None
             if code and self.session.may_order():
                 self.refuse(question, candidate, code)
         self.count(candidate, at_ms)
         return candidate
 
-    def account_of(self, question):
-        """Return the `ClientAccount` of a new job if it has a rate, else None."""
-        if not self.table.has_accounts:
-            return None
-        name = find_caller(self.table, question, None)
-        account = self.table.accounts.account_by_name.get(name)
+    def caller_of(self, question):
+        """Return the name of the account of a new job; empty without accounts."""
+        has_accounts = self.table.has_accounts
+        return find_caller(self.table, question, None) if has_accounts else ""
+
+    def account_of(self, caller):
+        """Return the `ClientAccount` of a caller if it has a rate, else None."""
+        account = self.table.accounts.account_by_name.get(caller)
         return account if account is not None and account.weight else None
 
     def token_wait_ms(self, account, job_id, at_ms):
@@ -170,34 +175,48 @@
 
         A job that is counted already, by an earlier attempt, keeps its place.
         """
-        if account is None or self.shares.is_excess_by_new_job.get(job_id) is False:
+        if account is None or self.shares.is_new_within_rate(account, job_id):
             return 0.0
         return self.shares.token_wait_ms(account, at_ms)
 
-    def knows_enough(self, queue, at_ms):
-        """Whether this leadership knows the demand, the run times and the minions."""
-        if not self.session.mover.demand.is_known(self.clock()):
-            return False
-        if not self.session.durations.is_known(queue.route):
+    def is_informed(self, queue):
+        """Whether this leadership knows the demand and the run times of a queue."""
+        is_known = self.session.mover.demand.is_known(self.clock())
+        return is_known and self.durations.is_known(queue.route)
+
+    def has_room(self, pool):
+        """Whether a measured pool has room enough for an estimate."""
+        backlog = self.backlog_by_pool.get(pool)
+        if backlog is None or not backlog.load.minions:
             return False
-        self.measure_if_due(at_ms)
-        backlog = self.backlog_by_pool.get(queue.pool)
-        return backlog is not None and backlog.room > 0
+        vm_room = backlog.load.room / backlog.load.minions
+        return backlog.room >= MIN_ROOM_VMS * vm_room
 
     def measure_if_due(self, at_ms):
         """Measure the backlog of all pools unless the last measurement is recent."""
         now = self.clock()
         if now < self.next_measurement:
             return
+        self.quotas = QuotaBudget(self.table.ledger)
         self.backlog_by_pool = measure_backlogs(
-            self.table, at_ms, self.session.durations, self.shares.is_known_excess
+            self.table,
+            at_ms,
+            self.session.durations,
+            self.shares.is_known_excess,
+            self.quotas,
         )
+        self.supply_by_pool = {
+            pool: self.supply(pool, backlog)
+            for pool, backlog in self.backlog_by_pool.items()
+        }
         self.estimator_by_pool = {
-            pool: self.make_estimator(backlog, self.supply(pool, backlog))
+            pool: self.make_estimator(backlog, self.supply_by_pool[pool])
             for pool, backlog in self.backlog_by_pool.items()
         }
-        for pool, work in self.in_flight.values():
-            if pool in self.backlog_by_pool:
+        for (job_id, _), (pool, work) in self.in_flight.items():
+            # A job is in the table before its proposal has returned.
+            is_measured = job_id in self.table.job_by_id
+            if pool in self.backlog_by_pool and not is_measured:
                 self.backlog_by_pool[pool].add_recent(work)
         self.arriving_by_class = {
             key: rate.millicores(now) for key, rate in self.rate_by_class.items()
@@ -220,23 +239,25 @@
 
     def judge(self, candidate, at_ms):
         """Return the error code with which a job is refused, or None."""
-        queue, steps, durations = candidate.queue, candidate.steps, self.durations
+        queue, chain_ms = candidate.queue, candidate.chain_ms
         backlog = self.backlog_by_pool[queue.pool]
-        expected_ms = durations.queue_estimator(queue.route)
-        chain_ms = critical_path_ms(steps, expected_ms)
-        due_ms = at_ms + queue.objective_ms + queue.stretch * chain_ms
+        expected_ms = self.durations.queue_estimator(queue.route)
+        due_ms = deadline_ms(queue, at_ms, chain_ms)
         rank = Rank(queue.priority, candidate.token_wait_ms > 0, False, due_ms)
-        candidate.work = waiting_job(rank, steps, backlog.load, expected_ms)
+        candidate.work = waiting_job(rank, candidate.spec, backlog.load, expected_ms)
         # A job that is wide for its pool takes longer than its critical path.
-        longer_ms = max(0.0, 1000 * candidate.work.core_ms / backlog.room - chain_ms)
-        candidate.wait_ms = self.wait_ms(queue.pool, rank) + longer_ms
-        if candidate.wait_ms <= longest_wait_ms(queue, steps, durations):
+        own_ms = self.supply_by_pool[queue.pool].drain_ms(candidate.work.core_ms)
+        longer_ms = max(0.0, own_ms - chain_ms)
+        others_ms = self.wait_ms(queue.pool, rank)
+        candidate.wait_ms = others_ms + longer_ms
+        if candidate.wait_ms <= longest_wait_ms(queue, chain_ms, self.durations):
             return None
-        if rank.is_excess:
+        # A job that is late by its own work alone would be so at any rate.
+        if rank.is_excess and others_ms > 0:
             return "over_rate"
         late_rank = rank._replace(is_late=True)
         candidate.wait_ms = self.wait_ms(queue.pool, late_rank) + longer_ms
-        limit_ms = longest_wait_ms(queue, steps, durations, WORTHLESS_OBJECTIVES)
+        limit_ms = decided_wait_ms(queue, chain_ms, self.durations)
         if self.session.terms.has_pressure and candidate.wait_ms > limit_ms:
             return "cannot_finish"
         return None
@@ -263,33 +284,54 @@
     def count(self, candidate, at_ms):
         """Count a job that is going to be recorded: its token and its work."""
         if candidate.account is not None:
-            self.shares.count_new(candidate.account, candidate.id, at_ms)
+            candidate.has_counted = self.shares.count_new(
+                candidate.account, candidate.id, at_ms
+            )
         if candidate.work is None:
             return
-        pool, work = candidate.queue.pool, candidate.work
-        self.in_flight[candidate.id] = pool, work
+        pool = candidate.queue.pool
+        work = candidate.work = within_quota(
+            candidate.work,
+            candidate.caller,
+            candidate.spec,
+            self.backlog_by_pool[pool].load,
+            self.quotas,
+            decided_wait_ms(candidate.queue, candidate.chain_ms, self.durations),
+        )
+        self.in_flight[candidate.id, candidate.caller] = pool, work
         self.backlog_by_pool[pool].add_recent(work)
-        rate = self.rate_by_class[pool, work.rank.is_excess]
+
+    def note_accepted(self, candidate, at_ms):
+        """Note the token, the arrival and the estimated end of a recorded job."""
+        if candidate is None:
+            return
+        if candidate.account is not None:
+            self.shares.confirm(self.table, candidate.account, candidate.id)
+        if candidate.work is None:
+            return
+        queue, work = candidate.queue, candidate.work
+        rate = self.rate_by_class[queue.pool, work.rank.is_excess]
         rate.note(work.core_ms, self.clock())
-        chain_ms = critical_path_ms(
-            candidate.steps, self.durations.queue_estimator(candidate.queue.route)
-        )
         if isfinite(candidate.wait_ms):
-            end_ms = at_ms + candidate.wait_ms + chain_ms
+            end_ms = at_ms + candidate.wait_ms + candidate.chain_ms
             self.session.gauge.note_estimate(candidate.id, end_ms)
 
     def uncount(self, candidate):
         """Undo `count` for a job that was certainly not recorded."""
         if candidate is None:
             return
-        if candidate.account is not None:
+        if candidate.has_counted:
             self.shares.uncount(candidate.account, candidate.id)
         backlog = self.backlog_by_pool.get(candidate.queue.pool)
         if backlog is not None and candidate.work is not None:
             backlog.remove_recent(candidate.work)
 
     def raise_last_refusal(self, question):
-        """Refuse a job again that was refused within `MIN_RETRY_MS`."""
+        """Refuse a job again that was refused within `MIN_RETRY_MS`.
+
+        Without a recent confirmation of the leadership the proposal decides: another
+        leader may have accepted the job.
+        """
         now = self.clock()
         while self.refusal_by_call:
             call, (at, _) = next(iter(self.refusal_by_call.items()))
@@ -297,7 +339,7 @@
                 break
             del self.refusal_by_call[call]
         last = self.refusal_by_call.get((question.id, question.key))
-        if last is not None:
+        if last is not None and self.session.may_order():
             error = last[1]
             raise HingepitchError(error.code, error.detail, error.retry_after_ms)
 
@@ -313,7 +355,7 @@
             place, wait_ms = candidate.account.name, candidate.token_wait_ms
             spacing_ms = 1000 / candidate.account.weight
         else:
-            limit_ms = longest_wait_ms(queue, candidate.steps, self.durations)
+            limit_ms = longest_wait_ms(queue, candidate.chain_ms, self.durations)
             place, wait_ms = queue.pool, candidate.wait_ms - limit_ms
             spacing_ms = 1000 * work.core_ms / backlog.room
         retry_ms = self.retries.reserve((code, place), wait_ms, spacing_ms, 1000 * now)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -113,10 +113,10 @@
     )
     for _ in range(1000):
         leader.ask(leader.question())
-    assert len(calls) == 2000
+    assert len(calls) == backlogs.MAX_MEASURED_ROUNDS
     leader.now += 60
     leader.ask(leader.question())
-    assert len(calls) <= 2 * 2000 + 1000
+    assert len(calls) == 2 * backlogs.MAX_MEASURED_ROUNDS
 
 
 # Guards against accounts that are refused while they keep to their rate, and against
@@ -183,6 +183,22 @@
     assert bucket.tokens == 0
 
 
+# Guards against the work of a job that counts twice, between its application and the
+# return of its proposal.
+def test_a_job_in_flight_counts_once_whether_applied_or_not(leader):
+    question = leader.question("plain")
+    works = []
+    with leader.admission.admitting(question, leader.now_ms):
+        for record in (lambda _: None, leader.record):
+            record(question)
+            leader.now += 1
+            leader.admission.measure_if_due(leader.now_ms)
+            backlog = leader.admission.backlog_by_pool["pool"]
+            works.append((len(backlog.recent), backlog.waiting_millicores))
+    used = TASK.count * TASK.cpu_millicores
+    assert works == [(1, used), (0, used)]
+
+
 # Guards against a token that is lost with a job that the log refuses.
 def test_a_job_that_the_log_refuses_puts_its_token_back(leader):
     leader.fill(FULL)
@@ -192,6 +208,19 @@
     assert [leader.code("heavy") for _ in range(3)] == [None, None, "over_rate"]
 
 
+# Guards against jobs that the log refuses and that count as arriving work, by which
+# others are refused, or as estimates of ends that never come.
+def test_a_job_that_the_log_refuses_has_not_arrived(leader):
+    leader.failure = "queue_full"
+    assert [leader.code("plain") for _ in range(9)] == ["queue_full"] * 9
+    assert not any(rate.arrivals for rate in leader.admission.rate_by_class.values())
+    assert not leader.session.gauge.estimated_end_ms_by_job
+    leader.failure = None
+    assert leader.code("plain") is None
+    assert len(leader.admission.rate_by_class["pool", False].arrivals) == 1
+    assert len(leader.session.gauge.estimated_end_ms_by_job) == 1
+
+
 # Guards against jobs that are accepted though their end is worth nothing, and against
 # such refusals where the settings do not ask for them.
 @pytest.mark.parametrize("has_pressure", [True, False])
@@ -268,6 +297,17 @@
     assert question.id in leader.table.job_by_id
 
 
+# Guards against a refusal that is repeated by a leader that may have been replaced, for
+# a job that the next leader has accepted.
+def test_a_leader_without_confirmation_repeats_no_refusal(leader):
+    leader.fill(500)
+    question = leader.question("plain")
+    assert leader.ask(question).code == "cannot_finish"
+    leader.session.may_order = lambda: False
+    leader.failure = "not_leader"
+    assert leader.ask(question).code == "not_leader"
+
+
 # Guards against 429 or 503 for a job that an earlier attempt may have recorded.
 def test_a_job_with_an_unknown_outcome_is_never_refused(leader):
     question = leader.question("plain")
