Limit how long a call waits for a busy connection

The time-out of a call began only when it held the lock of its connection, so that calls on a busy connection added up: of 20 calls that take 0.2 s each, the last returned after 4 s.

The lock is now acquired with the same time-out. A call that does not get it was certainly not sent (`peer_unreachable`). Its error is marked as `is_busy`: the server answers, so the group client neither counts it as silent nor asks another replica. One limit for both waits was weighed; the server would then get less time for the calls that waited, and more of them would have an unknown outcome.

--- a/hingepitch/group.py
+++ b/hingepitch/group.py
@@ -139,10 +139,13 @@
     def record_error(self, address, error):
         """Record that a call at `address` failed; on a transient error, prefer another.
 
-        The idle connections to a silent replica are closed. A call on one of them
-        would be written and get no answer, so that its outcome is unknown; a call
+        A call that waited too long for others on its connection says nothing about the
+        replica. The idle connections to a silent replica are closed. A call on one of
+        them would be written and get no answer, so that its outcome is unknown; a call
         that cannot connect was certainly not sent.
         """
+        if getattr(error, "is_busy", False):
+            return
         if error.code in SILENT_CODES:
             self.silent.add(address)
             for client in self.clients_by_address.get(address, ()):
--- a/hingepitch/rpc.py
+++ b/hingepitch/rpc.py
@@ -186,13 +186,15 @@
     `key`
         The shared key.
     `timeout_seconds`
-        Longest wait for an answer.
+        Longest wait for the connection while other calls use it, and then for an
+        answer.
 
     Calls are serialized. They raise `HingepitchError` with the code that the
     server sent, `peer_unreachable` if the server certainly did not get the whole
     call, or `peer_failed` if it may have got it and there is no answer. An error
     has `is_handshake` set if the server refused the authentication of the
-    connection.
+    connection, and `is_busy` if other calls used the connection for too long: this
+    says nothing about the server.
 
     `failures`
         Number of calls without an answer. A call that waited for the connection
@@ -224,11 +226,18 @@
     def call(self, method, *arguments):
         """Call `method` of the service; return its result."""
         failures = self.failures
-        with self.lock:
+        if not self.lock.acquire(timeout=self.timeout_seconds):
+            detail = f"{self.address}: the connection is busy"
+            error = HingepitchError("peer_unreachable", detail)
+            error.is_busy = True
+            raise error
+        try:
             if self.failures != failures:
                 detail = f"{self.address}: the connection failed"
                 raise HingepitchError("peer_unreachable", detail)
             return self.send_and_receive(method, *arguments)
+        finally:
+            self.lock.release()
 
     def send_and_receive(self, method, *arguments):
         """Call `method` on the connection, which no other call uses meanwhile."""
--- a/tests/test_silent_leader.py
+++ b/tests/test_silent_leader.py
@@ -109,3 +109,14 @@
     ]
     group.record_error(REPLICAS[0], HingepitchError("peer_failed"))
     assert closed == [0, 2]
+
+
+# Guards against: a search for another leader, and closed connections, while the leader
+# answers slowly.
+def test_a_replica_with_busy_connections_does_not_count_as_silent():
+    group = GroupClient(REPLICAS, "entry", "key")
+    error = HingepitchError("peer_unreachable")
+    error.is_busy = True
+    group.record_error(REPLICAS[0], error)
+    assert (group.preferred, group.silent) == (REPLICAS[0], set())
+    assert group.leader_lost_at is None
--- a/tests/test_true_answers.py
+++ b/tests/test_true_answers.py
@@ -87,6 +87,24 @@
     assert sent == [0]
 
 
+# Guards against: a call that waits without limit for others on its connection, each of
+# which is answered in time.
+def test_a_call_waits_for_a_busy_connection_only_for_the_time_out():
+    client = ControlClient("127.0.0.1:1", "entry", "key", 0.4)
+    client.transport = SimpleNamespace(isOpen=lambda: True, close=lambda: None)
+    sent = []
+    client.stub = SimpleNamespace(
+        send_ask=sent.append, recv_ask=lambda: gevent.sleep(0.1)
+    )
+    calls = [gevent.spawn(client.call, "ask", number) for number in range(30)]
+    gevent.joinall(calls, timeout=1.5)
+    assert all(call.ready() for call in calls)
+    refused = [call.exception for call in calls if not call.successful()]
+    assert len(sent) + len(refused) == len(calls) and 1 < len(sent) < 10
+    assert all(error.code == "peer_unreachable" and error.is_busy for error in refused)
+    assert not client.lock.locked() and client.transport is not None
+
+
 class OneReplica:
     """Group client whose only replica answers each call with the next code."""
 
