Retry an unanswered read only as long as a call that was not sent

A read that got no answer from one replica was retried for as long as a command that may have been applied, up to the whole wait of its caller, although a read changes nothing wherever it arrives.

It is now retried for `leaderless_seconds`, and in any case asked once more after its first attempt without an answer: the time-out of that attempt may have used up the time although another replica leads. The tests assert how long reads and commands are retried.

--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -96,13 +96,13 @@
             How long to retry once the request may have been applied.
         `leaderless_seconds`
             How long to retry while no leader is available and the request has
-            certainly not been applied.
+            certainly not been applied. A read, which never is, is tried once more after
+            its first attempt without an answer.
 
         Raises `HingepitchError`: `deadline_passed` if the request may have been
         applied, otherwise the code of the last refusal, with `no_leader` for all
-        transient codes. A read is never applied. `stale_version` is raised even if an
-        earlier attempt may have been applied: the caller reads again what it was based
-        on.
+        transient codes. `stale_version` is raised even if an earlier attempt may have
+        been applied: the caller reads again what it was based on.
         """
         began = lease_seconds()
         is_read = isinstance(question, READ_REQUESTS)
@@ -111,11 +111,12 @@
             try:
                 return self.ask_once(question)
             except HingepitchError as error:
-                is_outcome_unknown |= error.code in UNKNOWN_OUTCOME_CODES
-                limit = seconds if is_outcome_unknown else leaderless_seconds
-                is_transient = (
-                    error.code in TRANSIENT_CODES or error.code in UNKNOWN_OUTCOME_CODES
-                )
+                is_unanswered = error.code in UNKNOWN_OUTCOME_CODES
+                is_first = is_unanswered and not is_outcome_unknown
+                is_outcome_unknown |= is_unanswered
+                is_long = is_first if is_read else is_outcome_unknown
+                limit = seconds if is_long else leaderless_seconds
+                is_transient = is_unanswered or error.code in TRANSIENT_CODES
                 until = min(began + limit, self.retry_until)
                 if not is_transient or lease_seconds() > until:
                     may_be_applied = is_outcome_unknown and not is_read
--- a/tests/test_true_answers.py
+++ b/tests/test_true_answers.py
@@ -12,6 +12,7 @@
 from thrift.transport.TSocket import TSocket
 
 from adapter.front import RETRY_TIMEOUT_SECONDS, retry_seconds
+from hingepitch.clock import lease_seconds
 from hingepitch.control.replica import Replica
 from hingepitch.error import HingepitchError
 from hingepitch.gen.control import Control
@@ -146,6 +147,32 @@
     assert code_of(JobClient(OneReplica(code)).ask, request_, 0.1, 0.05) == expected
 
 
+def time_refusal(group, request_, seconds, leaderless_seconds):
+    """Return how long `group` is asked until the request is refused, in seconds."""
+    began = lease_seconds()
+    code_of(JobClient(group).ask, request_, seconds, leaderless_seconds)
+    return lease_seconds() - began
+
+
+# Guards against: a read that is held as long as a call that may have been applied, and
+# a command that is not.
+@pytest.mark.parametrize("code", ["peer_failed", "lost_leadership"])
+def test_a_read_without_an_answer_is_retried_like_a_call_that_was_not_sent(code):
+    for read in READS:
+        assert time_refusal(OneReplica(code, "no_leader"), read, 5, 0.1) < 1
+        assert time_refusal(OneReplica(code), read, 5, 0.1) < 1
+    cancel = AskCancel("1", "h", "/")
+    assert time_refusal(OneReplica(code, "no_leader"), cancel, 0.3, 0.1) >= 0.3
+
+
+# Guards against: 503 for a read because one replica answered too late, although
+# another one leads.
+def test_a_read_without_an_answer_is_asked_of_one_more_replica():
+    group = OneReplica("peer_failed", "no_leader", "peer_failed", "no_leader")
+    assert time_refusal(group, READS[0], 5, -1) < 1
+    assert group.codes == ["peer_failed", "no_leader"]
+
+
 # Guards against: 503 for a command that is in the log of a replica with a bad disk, and
 # 504 for one that is not.
 def test_only_commands_outside_the_log_are_refused_with_storage_failed(
