Refuse an invalid port before the early listener binds it

A port out of range made `bind` raise OverflowError, which ended an entry with a traceback instead of the report on its settings. `open_listener` now checks the port and raises ValueError, as its doc comment says; `listen_early` leaves that to the program. Catching OverflowError was weighed: port 0 would still be bound to an address that no server takes over.

--- a/hingepitch/listener.py
+++ b/hingepitch/listener.py
@@ -24,11 +24,14 @@
 
 def open_listener(address):
     """Listen on `address`, an `IP:port`; raise OSError or ValueError if that fails."""
-    host, _, port = address.rpartition(":")
+    host, _, text = address.rpartition(":")
+    port = int(text)
+    if not 0 < port < 65536:
+        raise ValueError(f"invalid port: {port}")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
+        listener.bind((host, port))
         listener.listen(BACKLOG)
     except BaseException:
         listener.close()
--- a/tests/test_early_listener.py
+++ b/tests/test_early_listener.py
@@ -70,7 +70,10 @@
 # settings, or instead of waiting for an address that is in use.
 @pytest.mark.parametrize(
     "text",
-    ["", "listen", "listen: {}", "listen: {front: 7}", "listen: {front: x}", "{"],
+    [
+        *("", "listen", "listen: {}", "listen: {front: 7}", "listen: {front: x}", "{"),
+        *(f"listen: {{front: '127.0.0.1:{port}'}}" for port in (70000, 0, -1)),
+    ],
 )
 def test_settings_that_cannot_be_used_are_left_to_the_program(settings, text):
     settings.write_text(text)
