Decide by the start of a run if it counts for a minion's health

The end of a run was ignored only if it failed while the minion was still cold. A run that began on a cold minion and timed out just after the warm-up counted as trouble, although its slowness caused it.

`RunWatch.note_ends` now asks `Session.began_cold`, as the run times do, and ignores successes as well as failures.

--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -9,7 +9,7 @@
 :license: BSD, see LICENSE for details.
 """
 
-from hingepitch.clock import lease_seconds
+from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.jobs.health import is_stalled
 from hingepitch.jobs.pace import ServingTask, next_percent
 from hingepitch.jobs.record import RunResult
@@ -237,13 +237,18 @@
     def note_ends(self, agent, ends):
         """Update the health of a minion from the ends that it listed.
 
-        A failure on a cold minion may be a time-out that its slowness caused.
+        A run that began while the minion was cold says nothing about it: a failure
+        may be a time-out that the slowness caused.
         """
         now = lease_seconds()
+        at_ms = wall_ms()
         for end in ends:
+            run = self.session.table.run_by_task.get(end.task)
+            if run is not None and self.session.began_cold(run, at_ms):
+                continue
             if end.result is RunResult.DONE:
                 agent.health.note_success(now)
-            elif end.result is RunResult.FAILED and not agent.warmth.is_cold(now):
+            elif end.result is RunResult.FAILED:
                 agent.health.note_trouble(end.task.job, now)
 
     def evacuate_draining(self):
