--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -41,6 +41,7 @@
     "address_refused": "ERROR",
     "address_taken": "INFO",
     "settings_refused": "ERROR",
+    "setting_ignored": "WARNING",
     "role_changed": "INFO",
     "log_recovered": "INFO",
     "torn_tail_cut": "WARNING",
