Test the longest stop of an entry against its own limit

The test let an entry take twice its grace period, because waits that do not depend on the period were longer than a period of 1 s. It now shortens these in proportion and requires the end before the process would be ended by its limit. The period of the tests is 3 s, so that the limit is a tenth of a second away.

--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -10,6 +10,7 @@
 import gevent
 import pytest
 
+import adapter.entry
 from adapter.entry import (
     DRAIN_FRACTION,
     EXIT_FRACTION,
@@ -25,7 +26,10 @@
 from hingepitch.jobs.client import JobClient
 from hingepitch.logsink import CLOSE_SECONDS
 
-GRACE_SECONDS = 1.0
+GRACE_SECONDS = 3.0
+
+#: Waits of an entry that do not depend on the grace period.
+FIXED_WAITS = ("BALANCER_DRAIN_SECONDS", "FLUSH_SECONDS", "STOP_SECONDS")
 
 
 class HangingServer:
@@ -83,12 +87,15 @@
 def test_calls_and_connections_that_never_end_are_left_in_time(entry, monkeypatch):
     limits = []
     monkeypatch.setattr(app, "end_process_after", lambda *args: limits.append(args))
+    for name in FIXED_WAITS:
+        seconds = getattr(adapter.entry, name) * GRACE_SECONDS / Bounds().grace_s
+        monkeypatch.setattr(adapter.entry, name, seconds)
     entry.stop_on_signal()
     entry.stop_on_signal()
     began = lease_seconds()
     assert entry.run() == 0
     assert not entry.http.is_listening
-    assert lease_seconds() - began < GRACE_SECONDS + 1.0
+    assert lease_seconds() - began < GRACE_SECONDS * EXIT_FRACTION
     assert limits == [(GRACE_SECONDS * EXIT_FRACTION, 0)]
 
 
