Define once how long requests for callers are retried

The entry's API and its key check had the same two limits with one meaning. Both take them from `hingepitch.jobs.client` now. No behaviour changes, so there is no new test.

--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -26,7 +26,17 @@
     encode,
 )
 
-__all__ = ["JobClient"]
+__all__ = ["LEADER_WAIT_SECONDS", "RETRY_TIMEOUT_SECONDS", "JobClient"]
+
+#: How long a request for a caller is retried once it may have been applied, in seconds,
+#: if its caller does not say how long it waits: callers wait 3 s, and the last attempt
+#: may take one more second.
+RETRY_TIMEOUT_SECONDS = 1.8
+
+#: How long such a request waits for a leader before it is refused as not applied, in
+#: seconds. A new leader is elected 0.6 to 1.4 s after the loss of the old one; a longer
+#: wait would keep callers from trying another entry.
+LEADER_WAIT_SECONDS = 0.8
 
 #: Pause between two attempts of a request, in seconds.
 PAUSE_SECONDS = 0.03
--- a/hingepitch/jobs/keycheck.py
+++ b/hingepitch/jobs/keycheck.py
@@ -16,6 +16,7 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.account import describe_digest
+from hingepitch.jobs.client import LEADER_WAIT_SECONDS, RETRY_TIMEOUT_SECONDS
 from hingepitch.jobs.question import AskKeys, KeyListing
 from hingepitch.jobs.queue import Queue, QueueIndex
 from hingepitch.log import log_event, source_location
@@ -25,11 +26,6 @@
 #: Minimum interval between two requests to the leader, in seconds.
 CHECK_SECONDS = 0.05
 
-#: How long a check of the listing is retried, in seconds, once the leader may have
-#: answered and while there is none.
-RETRY_TIMEOUT_SECONDS = 1.8
-LEADER_WAIT_SECONDS = 0.8
-
 #: Limit of calls that wait for a check; more are refused without one.
 MAX_WAITING_CALLS = 500
 RETRY_AFTER_MS = 1000
--- a/tests/test_true_answers.py
+++ b/tests/test_true_answers.py
@@ -11,13 +11,13 @@
 import pytest
 from thrift.transport.TSocket import TSocket
 
-from adapter.front import RETRY_TIMEOUT_SECONDS, retry_seconds
+from adapter.front import retry_seconds
 from hingepitch.clock import lease_seconds
 from hingepitch.control.replica import Replica
 from hingepitch.error import HingepitchError
 from hingepitch.gen.control import Control
 from hingepitch.gen.control.ttypes import Refused
-from hingepitch.jobs.client import JobClient
+from hingepitch.jobs.client import RETRY_TIMEOUT_SECONDS, JobClient
 from hingepitch.jobs.command import OpenRounds
 from hingepitch.jobs.question import AskCancel, AskJob, AskKeys, AskPending
 from hingepitch.model.command import Envelope, Role
