State the rule for cold minions in the code as it is in force

`ColdTerms` had two fields that no rule read, and `PlanContext.cold_rule` let only a trial use other rules. The settings become the flag `takes_cold_last`, and the rank of a minion the function `rank_cold`. Both settings are checked as before.

--- a/hingepitch/jobs/cold.py
+++ b/hingepitch/jobs/cold.py
@@ -2,7 +2,8 @@
 hingepitch.jobs.cold
 ~~~~~~~~~~~~~~~~~~~~
 
-Use of minions that are still slow after their start: rules over a planning pass.
+Use of minions that are still slow after their start: pure functions over a
+planning pass.
 
 :copyright: Copyright 2026 by the hingepitch maintainers.
 :license: BSD, see LICENSE for details.
@@ -10,26 +11,16 @@
 
 from hingepitch.jobs.due import is_late
 
-__all__ = ["ColdLast", "avoids_cold"]
+__all__ = ["avoids_cold", "rank_cold"]
 
 
-class ColdLast:
-    """Cold minions come after all others, the warmest first.
+def rank_cold(work, minion):
+    """Return the rank of a minion, the lower the better.
 
-    `warmth_by_minion`
-        The warmth of each cold minion, from 0 to 1.
+    Cold minions come after all others, the warmest first; 0 is a warm one.
     """
-
-    def __init__(self, work):
-        self.warmth_by_minion = work.plan_context.warmth_by_minion
-
-    def rank(self, minion):
-        """Return the rank of a minion, the lower the better; 0 if it is warm.
-
-        A rule that limits the runs on a cold minion returns None for a full one.
-        """
-        warmth = self.warmth_by_minion.get(minion.id)
-        return 0.0 if warmth is None else 2.0 - warmth
+    warmth = work.plan_context.warmth_by_minion.get(minion.id)
+    return 0.0 if warmth is None else 2.0 - warmth
 
 
 def avoids_cold(work, key):
--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field, replace
 from functools import cached_property
 
-from hingepitch.jobs.cold import ColdLast, avoids_cold
+from hingepitch.jobs.cold import avoids_cold
 from hingepitch.jobs.command import Start
 from hingepitch.jobs.due import due_ms, is_late
 from hingepitch.jobs.duration import Durations
@@ -54,8 +54,6 @@
         Jobs that their accounts sent beyond the rate that they may expect.
     `warmth_by_minion`
         The warmth of each cold minion: the part of its warm-up that is over.
-    `cold_rule`
-        The class of the rule by which cold minions are used.
     `spreads_over_halls`
         Whether the tasks of a long-running step are spread over halls.
     """
@@ -71,7 +69,6 @@
     paused: set[TaskKey] = field(default_factory=set)
     excess_jobs: set[str] = field(default_factory=set)
     warmth_by_minion: dict[str, float] = field(default_factory=dict)
-    cold_rule: type = ColdLast
     spreads_over_halls: bool = False
 
 
@@ -89,19 +86,14 @@
     avoids_cold_by_step: dict[tuple, bool] = field(default_factory=dict)
     placed_by_hall: dict[tuple, dict[str, int]] = field(default_factory=dict)
 
-    @cached_property
-    def cold_rule(self):
-        """The rule for cold minions in this pass."""
-        return self.plan_context.cold_rule(self)
-
-    def cold_rule_for(self, step_key):
-        """Return the rule for cold minions, or None if they are taken like others."""
+    def takes_cold_last(self, step_key):
+        """Whether the tasks of a step go to cold minions only after all others."""
         if not self.plan_context.warmth_by_minion:
-            return None
+            return False
         avoids = self.avoids_cold_by_step.get(step_key)
         if avoids is None:
             avoids = self.avoids_cold_by_step[step_key] = avoids_cold(self, step_key)
-        return self.cold_rule if avoids else None
+        return avoids
 
     @cached_property
     def isolation(self):
--- a/hingepitch/jobs/score.py
+++ b/hingepitch/jobs/score.py
@@ -8,13 +8,15 @@
 :license: BSD, see LICENSE for details.
 """
 
+from hingepitch.jobs.cold import rank_cold
+
 __all__ = ["best_minion"]
 
 
 def best_minion(work, key, step, candidates, is_suspect=False, avoided=()):
     """Return the best minion for one more task of a step, or None if none fits."""
     task_counts = work.task_counts(key)
-    cold_rule = work.cold_rule_for(key)
+    takes_cold_last = work.takes_cold_last(key)
     hall_counts = work.hall_counts(key, step)
     best = None
     best_score = None
@@ -24,9 +26,7 @@
         used = work.room(minion)
         if not used.fits(minion, step):
             continue
-        cold_rank = cold_rule.rank(minion) if cold_rule is not None else 0.0
-        if cold_rank is None:
-            continue
+        cold_rank = rank_cold(work, minion) if takes_cold_last else 0.0
         hall_count = hall_counts.get(minion.hall, 0)
         score = score_minion(
             work, step, minion, used, is_suspect, avoided, cold_rank, hall_count
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -474,5 +474,5 @@
         agent = self.agent_by_minion.get(minion_id)
         if agent is not None:
             agent.note_heartbeat(clock_ms)
-        if cold_ms is not None and self.terms.cold is not None:
+        if cold_ms is not None and self.terms.takes_cold_last:
             self.agents.note_cold(minion_id, cold_ms)
--- a/hingepitch/jobs/terms.py
+++ b/hingepitch/jobs/terms.py
@@ -12,25 +12,7 @@
 
 from hingepitch.jobs.pool import PoolTerms
 
-__all__ = ["ColdTerms", "DispatchSettings"]
-
-
-@dataclass(frozen=True, slots=True)
-class ColdTerms:
-    """Limits for runs on a minion that is still slow after its start.
-
-    Their presence makes placement take cold minions last (`hingepitch.jobs.cold`),
-    which keeps more jobs in time than these limits do. The rule does not read the
-    values.
-
-    `overage`
-        Factor on the mean number of runs of the warm minions of the pool.
-    `slack`
-        Number of runs beyond that.
-    """
-
-    overage: float
-    slack: float = 0.0
+__all__ = ["DispatchSettings"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,8 +40,9 @@
         How long a VM is unavailable while it changes pool.
     `cross_rack_slowdown`
         Factor by which tasks that prefer one rack are slower across racks.
-    `cold`
-        The `ColdTerms`, or None to treat every minion as warm.
+    `takes_cold_last`
+        Whether minions that are still slow after their start come last for tasks
+        that can be in time (`hingepitch.jobs.cold`). If not, all count as warm.
     `spreads_over_halls`
         Whether the tasks of a long-running step are spread over halls.
     `pools`
@@ -78,7 +61,7 @@
     upkeep_seconds: float = 2.0
     move_seconds: float = 1.5
     cross_rack_slowdown: float = 2.0
-    cold: ColdTerms | None = None
+    takes_cold_last: bool = False
     spreads_over_halls: bool = False
     pools: PoolTerms = PoolTerms()
     has_pressure: bool = False
--- a/tests/cold_simulation.py
+++ b/tests/cold_simulation.py
@@ -6,10 +6,12 @@
 
 import itertools
 import random
+from contextlib import contextmanager
 from dataclasses import dataclass
+from unittest.mock import patch
 
-from hingepitch.jobs import command as commands
-from hingepitch.jobs.cold import ColdLast
+from hingepitch.jobs import command as commands, plan, score
+from hingepitch.jobs.cold import rank_cold
 from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.plan import PlanContext, plan_starts
 from hingepitch.jobs.queue import Queue
@@ -93,11 +95,39 @@
 
 
 class ColdLastRamp(ColdRamp):
-    """The limit of `ColdRamp`, in the order of `ColdLast`."""
+    """The limit of `ColdRamp`, in the order of the rule in force."""
 
     def rank(self, minion):
         is_full = super().rank(minion) is None
-        return None if is_full else ColdLast(self.work).rank(minion)
+        return None if is_full else rank_cold(self.work, minion)
+
+
+#: Stands for the product's rule.
+IN_FORCE = None
+
+
+@contextmanager
+def use_rule(cold_rule):
+    """Let `cold_rule` rank the minions in one planning pass, or `IN_FORCE`.
+
+    The rank of a minion that is full by the rule is None.
+    """
+    if cold_rule is IN_FORCE:
+        yield
+        return
+    rules = {}
+
+    def best_minion(work, key, step, candidates, *options):
+        if not work.takes_cold_last(key):
+            return score.best_minion(work, key, step, candidates, *options)
+        rule = rules.get(id(work)) or rules.setdefault(id(work), cold_rule(work))
+        ranks = {one.id: rule.rank(one) for one in candidates}
+        admitted = [one for one in candidates if ranks[one.id] is not None]
+        with patch.object(score, "rank_cold", lambda work, one: ranks[one.id]):
+            return score.best_minion(work, key, step, admitted, *options)
+
+    with patch.object(plan, "best_minion", best_minion):
+        yield
 
 
 @dataclass
@@ -195,9 +225,9 @@
             self.now_ms,
             set(self.table.minion_by_id),
             warmth_by_minion=dict.fromkeys(self.cold, warmth) if warmth < 1 else {},
-            cold_rule=self.cold_rule,
         )
-        starts, _ = plan_starts(self.table, context)
+        with use_rule(self.cold_rule):
+            starts, _ = plan_starts(self.table, context)
         self.log.send(commands.StartRuns(starts, (), self.now_ms))
         for start in starts:
             run = self.table.run_by_task[start.task]
--- a/tests/test_cold_heartbeats.py
+++ b/tests/test_cold_heartbeats.py
@@ -17,13 +17,11 @@
 from hingepitch.jobs.content import content_of
 from hingepitch.jobs.question import NoteBeat, decode_request, encode
 from hingepitch.jobs.service import JobService
-from hingepitch.jobs.terms import ColdTerms
 from hingepitch.jobs.warmth import WARM
 from tests.memory_minion import MemoryMinion
 from tests.test_dispatch import SECONDS, TERMS, DispatchHarness
 from tests.test_job_rules import make_minion
 
-COLD = ColdTerms(1.5, 5)
 BODY = {
     "service": "pool",
     "address": "127.0.0.1:9001",
@@ -45,11 +43,11 @@
 class Scene:
     """A leader and one minion, whose heartbeats are delivered by hand."""
 
-    def __init__(self, cold=COLD, **terms):
+    def __init__(self, takes_cold_last=True, **terms):
         self.minion = MemoryMinion(task_seconds=600)
         self.harness = DispatchHarness(
             self.minion,
-            terms=replace(TERMS, cold=cold, **terms),
+            terms=replace(TERMS, takes_cold_last=takes_cold_last, **terms),
             connect=lambda record: self.minion,
         )
         harness = self.harness
@@ -185,7 +183,7 @@
 
 # Guards against new behaviour where the settings do not ask for it.
 def test_without_the_setting_every_minion_counts_as_warm(make_scene):
-    scene = make_scene(cold=None)
+    scene = make_scene(takes_cold_last=False)
     scene.deliver(1, 5000)
     assert scene.agent.warmth == WARM
 
--- a/tests/test_cold_runs.py
+++ b/tests/test_cold_runs.py
@@ -11,7 +11,7 @@
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.warmth import WARM
 from hingepitch.jobs.watch import RunWatch
-from tests.test_cold_heartbeats import COLD, Scene
+from tests.test_cold_heartbeats import Scene
 from tests.test_dispatch import SECONDS
 from tests.test_job_rules import task
 
@@ -31,9 +31,9 @@
 
 # Guards against run times learned on a cold minion: jobs that can be in time would be
 # counted as late, and pools would ask for too many VMs.
-@pytest.mark.parametrize("cold", [COLD, None])
-def test_a_run_that_began_on_a_cold_minion_is_not_noted(make_scene, cold):
-    scene = make_scene(cold=cold)
+@pytest.mark.parametrize("takes_cold_last", [True, False])
+def test_a_run_that_began_on_a_cold_minion_is_not_noted(make_scene, takes_cold_last):
+    scene = make_scene(takes_cold_last=takes_cold_last)
     scene.deliver(1, 60_000)
     scene.harness.submit(Step(1, estimate_ms=100))
     assert wait_until(lambda: scene.minion.begun, SECONDS)
@@ -42,7 +42,7 @@
     scene.minion.end(task(), number, RunResult.DONE)
     scene.harness.wait_status(JobStatus.SUCCEEDED)
     is_noted = bool(scene.harness.dispatcher.session.durations.fit_by_route)
-    assert is_noted == (cold is None)
+    assert is_noted != takes_cold_last
 
 
 # Guards against a minion whose run times are never learned, as it was cold once.
--- a/tests/test_load_cold_minions.py
+++ b/tests/test_load_cold_minions.py
@@ -10,11 +10,11 @@
 import pytest
 
 from hingepitch.jobs import command as commands
-from hingepitch.jobs.cold import ColdLast
 from hingepitch.jobs.plan import PlanContext, PlanningPass, plan_starts
 from hingepitch.jobs.spec import Step
 from tests import cold_simulation
 from tests.cold_simulation import (
+    IN_FORCE,
     MINIONS,
     AsIfWarm,
     ColdLastRamp,
@@ -41,7 +41,7 @@
 # warm one had room or would soon have it, and against another rule that does better.
 @pytest.mark.parametrize("load, backlog, gain", LOADS)
 def test_cold_minions_last_is_the_best_rule(monkeypatch, load, backlog, gain):
-    best = in_time(ColdLast, load, backlog)
+    best = in_time(IN_FORCE, load, backlog)
     assert best >= in_time(AsIfWarm, load, backlog) + gain
     # A step that a limit keeps from cold minions says nothing about late steps.
     monkeypatch.setattr(PlanningPass, "note_too_large", lambda *arguments: None)
@@ -52,13 +52,13 @@
 # Guards against a rule that leaves work undone while the slowdown is small.
 def test_cold_minions_last_does_no_harm_where_they_are_hardly_slower(monkeypatch):
     monkeypatch.setattr(cold_simulation, "SLOWDOWN", 1.2)
-    assert in_time(ColdLast, 0.6, 0) >= in_time(AsIfWarm, 0.6, 0) - 0.01
+    assert in_time(IN_FORCE, 0.6, 0) >= in_time(AsIfWarm, 0.6, 0) - 0.01
 
 
 # Guards against a pool that starts nothing until its minions are warm, as after a loss
 # of all power.
 def test_work_starts_in_a_pool_whose_minions_are_all_cold():
-    simulation = ColdSimulation(1, ColdLast, 0.2, cold_minions=MINIONS)
+    simulation = ColdSimulation(1, IN_FORCE, 0.2, cold_minions=MINIONS)
     simulation.submit()
     simulation.start_tasks()
     assert len(simulation.runs) == cold_simulation.STEP_TASKS
--- a/tests/test_placement_settings.py
+++ b/tests/test_placement_settings.py
@@ -5,7 +5,6 @@
 from adapter.settings import read_settings
 from adapter.terms import make_dispatch_settings
 from hingepitch.error import HingepitchError
-from hingepitch.jobs.terms import ColdTerms
 from tests.test_platform import SETTINGS
 
 BOUNDS = "stop_ms: 200"
@@ -34,13 +33,13 @@
 # against settings that are read and then not used.
 def test_settings_turn_the_placement_rules_on(settings):
     terms = make_dispatch_settings(settings())
-    assert terms.cold is None and not terms.spreads_over_halls
+    assert not terms.takes_cold_last and not terms.spreads_over_halls
     terms = make_dispatch_settings(settings("cold_slack: 5"))
-    assert terms.cold is None
+    assert not terms.takes_cold_last
     terms = make_dispatch_settings(settings("cold_overage: 1.5, cold_slack: 5", "1"))
-    assert terms.cold == ColdTerms(1.5, 5) and terms.spreads_over_halls
+    assert terms.takes_cold_last and terms.spreads_over_halls
     terms = make_dispatch_settings(settings("cold_overage: 0"))
-    assert terms.cold == ColdTerms(0, 0)
+    assert terms.takes_cold_last
 
 
 BAD_VALUES = [
