Relieve a full hall also in a group of three voters

A voter of a full hall was demoted only if the group could lose another one meanwhile, which two voters never can. With three wanted voters, two of them in one hall, the loss of that hall lost the quorum for good.

If the demotion has to wait for that reason, the learner in the other hall is promoted first; the demotion follows as the next change. Until then there is one voter more, and a group of four can lose one like a group of three. A demotion from such a surplus needs no further learner, so that another leader completes it. Groups of five and seven make the same changes as before.

--- a/hingepitch/control/hallspread.py
+++ b/hingepitch/control/hallspread.py
@@ -15,6 +15,7 @@
     "choose_learner",
     "count_voters_by_hall",
     "find_crowded_voter",
+    "has_room_elsewhere",
     "max_voters_in_hall",
     "survives_losses",
 ]
@@ -66,17 +67,19 @@
     )
 
 
-def find_crowded_voter(members, learners, voters_wanted, leader):
-    """Return a voter of a hall that is too full, if a learner elsewhere fits better.
-
-    Otherwise None. The leader is never returned.
-    """
+def has_room_elsewhere(members, learners, voters_wanted):
+    """Whether one of `learners` is of a known hall that is not full of voters."""
     count_by_hall = count_voters_by_hall(members)
     limit = max_voters_in_hall(voters_wanted)
-    if not any(
+    return any(
         one.hall != UNKNOWN_HALL and count_by_hall[one.hall] < limit for one in learners
-    ):
-        return None
+    )
+
+
+def find_crowded_voter(members, voters_wanted, leader):
+    """Return a voter of a hall that is too full, or None; never the leader."""
+    count_by_hall = count_voters_by_hall(members)
+    limit = max_voters_in_hall(voters_wanted)
     for member in members:
         is_crowded = member.voter and count_by_hall[member.hall] > limit
         if is_crowded and member.identity != leader:
--- a/hingepitch/control/healing.py
+++ b/hingepitch/control/healing.py
@@ -18,6 +18,7 @@
     UNKNOWN_HALL,
     choose_learner,
     find_crowded_voter,
+    has_room_elsewhere,
     survives_losses,
 )
 from hingepitch.control.message import Member
@@ -84,7 +85,7 @@
         or with_known_hall(view)
         or with_promoted_learner(view)
         or without_unresponsive_voter(view)
-        or without_crowded_voter(view)
+        or with_relieved_hall(view)
     )
 
 
@@ -145,24 +146,34 @@
     return None
 
 
-def without_crowded_voter(view):
-    """Return the members with one voter of a hall that is too full as a learner.
+def with_relieved_hall(view):
+    """Return the members with one voter less in a hall that is too full, or None.
 
-    None if there is no such voter, if no learner in another hall can replace it, or
-    if the group could not lose another voter meanwhile.
+    None if there is no such hall, if no learner in another hall can take its place, or
+    if a voter does not respond. A group that could lose no voter with one less gets the
+    learner as a further voter first, and loses the voter with the next change.
     """
     voters = [member for member in view.members if member.voter]
     if not view.halls_tolerated or len(voters) < view.voters_wanted:
         return None
     if view.not_responding.intersection(member.identity for member in voters):
         return None
-    crowded = find_crowded_voter(
-        view.members, list(ready_learners(view)), view.voters_wanted, view.leader
-    )
+    crowded = find_crowded_voter(view.members, view.voters_wanted, view.leader)
     if crowded is None:
         return None
+    has_surplus = len(voters) > view.voters_wanted
+    learners = list(ready_learners(view))
+    if not has_surplus and not has_room_elsewhere(
+        view.members, learners, view.voters_wanted
+    ):
+        return None
     members = with_member(view.members, replace(crowded, voter=False))
-    return members if survives_losses(members, view.not_responding, 1) else None
+    if survives_losses(members, view.not_responding, 1):
+        return members
+    if has_surplus:
+        return None
+    learner = next_learner(view, view.members)
+    return with_member(view.members, replace(learner, voter=True))
 
 
 def next_learner(view, members):
--- a/tests/test_hall_spread.py
+++ b/tests/test_hall_spread.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from dataclasses import replace
+from itertools import pairwise
 from types import SimpleNamespace
 
 import pytest
@@ -77,6 +78,38 @@
         assert max(voters_by_hall(members).values()) <= LIMIT
 
 
+# Guards against: a hall that keeps too many voters because the group is too small to
+# lose one of them for a moment; and a step that leaves it unable to lose a voter.
+@pytest.mark.parametrize("wanted", [3, 5, 7])
+@pytest.mark.parametrize("leader", [0, 1])
+def test_a_full_hall_is_relieved_in_groups_of_any_size(wanted, leader):
+    limit = (wanted - 1) // 2
+    members = make_members("a" * wanted, "bc" * limit)
+    view = replace(
+        make_spread_view(members, wanted=wanted), leader=members[leader].identity
+    )
+    sequence = list(steps(view))
+    assert sum(voters_by_hall(sequence[-1]).values()) == wanted
+    assert max(voters_by_hall(sequence[-1]).values()) <= limit
+    for before, after in pairwise([view.members, *sequence]):
+        assert survives_a_loss(after, ()) and view.leader in voters(after)
+        assert len(set(voters(before)) ^ set(voters(after))) == 1
+        assert wanted - 1 <= len(voters(after)) <= wanted + 1
+
+
+# Guards against: a further voter that takes nobody's place, a swap that goes on while a
+# voter is lost, and one that is not finished under another leader.
+def test_a_swap_in_a_group_of_three_needs_a_free_hall_and_all_voters():
+    members = make_members("aab", "c")
+    view = make_spread_view(members, wanted=3)
+    assert next_members(make_spread_view(make_members("aab", "ab"), wanted=3)) is None
+    begun = next_members(view)
+    assert voters(begun) == ["c0", "c1", "c2", "c3"]
+    halfway = replace(view, members=begun, leader="c1")
+    assert next_members(replace(halfway, not_responding=frozenset(("c3",)))) is None
+    assert voters(next_members(halfway)) == ["c1", "c2", "c3"]
+
+
 # Guards against: two voters changed at once, and a full hall that gets another voter
 # although the group could lose a voter.
 @given(halls_of_voters, halls_of_learners, sets_of_members)
