--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -26,7 +26,17 @@
     encode,
 )
 
-__all__ = ["JobClient"]
+__all__ = ["LEADER_WAIT_SECONDS", "RETRY_TIMEOUT_SECONDS", "JobClient"]
+
+#: How long a request for a caller is retried once it may have been applied, in seconds,
+#: if its caller does not say how long it waits: callers wait 3 s, and the last attempt
+#: may take one more second.
+RETRY_TIMEOUT_SECONDS = 1.8
+
+#: How long such a request waits for a leader before it is refused as not applied, in
+#: seconds. A new leader is elected 0.6 to 1.4 s after the loss of the old one; a longer
+#: wait would keep callers from trying another entry.
+LEADER_WAIT_SECONDS = 0.8
 
 #: Pause between two attempts of a request, in seconds.
 PAUSE_SECONDS = 0.03
@@ -96,13 +106,13 @@
             How long to retry once the request may have been applied.
         `leaderless_seconds`
             How long to retry while no leader is available and the request has
-            certainly not been applied.
+            certainly not been applied. A read, which never is, is tried once more after
+            its first attempt without an answer.
 
         Raises `HingepitchError`: `deadline_passed` if the request may have been
         applied, otherwise the code of the last refusal, with `no_leader` for all
-        transient codes. A read is never applied. `stale_version` is raised even if an
-        earlier attempt may have been applied: the caller reads again what it was based
-        on.
+        transient codes. `stale_version` is raised even if an earlier attempt may have
+        been applied: the caller reads again what it was based on.
         """
         began = lease_seconds()
         is_read = isinstance(question, READ_REQUESTS)
@@ -111,11 +121,12 @@
             try:
                 return self.ask_once(question)
             except HingepitchError as error:
-                is_outcome_unknown |= error.code in UNKNOWN_OUTCOME_CODES
-                limit = seconds if is_outcome_unknown else leaderless_seconds
-                is_transient = (
-                    error.code in TRANSIENT_CODES or error.code in UNKNOWN_OUTCOME_CODES
-                )
+                is_unanswered = error.code in UNKNOWN_OUTCOME_CODES
+                is_first = is_unanswered and not is_outcome_unknown
+                is_outcome_unknown |= is_unanswered
+                is_long = is_first if is_read else is_outcome_unknown
+                limit = seconds if is_long else leaderless_seconds
+                is_transient = is_unanswered or error.code in TRANSIENT_CODES
                 until = min(began + limit, self.retry_until)
                 if not is_transient or lease_seconds() > until:
                     may_be_applied = is_outcome_unknown and not is_read
--- a/tests/test_true_answers.py
+++ b/tests/test_true_answers.py
@@ -11,12 +11,13 @@
 import pytest
 from thrift.transport.TSocket import TSocket
 
-from adapter.front import RETRY_TIMEOUT_SECONDS, retry_seconds
+from adapter.front import retry_seconds
+from hingepitch.clock import lease_seconds
 from hingepitch.control.replica import Replica
 from hingepitch.error import HingepitchError
 from hingepitch.gen.control import Control
 from hingepitch.gen.control.ttypes import Refused
-from hingepitch.jobs.client import JobClient
+from hingepitch.jobs.client import RETRY_TIMEOUT_SECONDS, JobClient
 from hingepitch.jobs.command import OpenRounds
 from hingepitch.jobs.question import AskCancel, AskJob, AskKeys, AskPending
 from hingepitch.model.command import Envelope, Role
@@ -87,6 +88,24 @@
     assert sent == [0]
 
 
+# Guards against: a call that waits without limit for others on its connection, each of
+# which is answered in time.
+def test_a_call_waits_for_a_busy_connection_only_for_the_time_out():
+    client = ControlClient("127.0.0.1:1", "entry", "key", 0.4)
+    client.transport = SimpleNamespace(isOpen=lambda: True, close=lambda: None)
+    sent = []
+    client.stub = SimpleNamespace(
+        send_ask=sent.append, recv_ask=lambda: gevent.sleep(0.1)
+    )
+    calls = [gevent.spawn(client.call, "ask", number) for number in range(30)]
+    gevent.joinall(calls, timeout=1.5)
+    assert all(call.ready() for call in calls)
+    refused = [call.exception for call in calls if not call.successful()]
+    assert len(sent) + len(refused) == len(calls) and 1 < len(sent) < 10
+    assert all(error.code == "peer_unreachable" and error.is_busy for error in refused)
+    assert not client.lock.locked() and client.transport is not None
+
+
 class OneReplica:
     """Group client whose only replica answers each call with the next code."""
 
@@ -128,6 +147,32 @@
     assert code_of(JobClient(OneReplica(code)).ask, request_, 0.1, 0.05) == expected
 
 
+def time_refusal(group, request_, seconds, leaderless_seconds):
+    """Return how long `group` is asked until the request is refused, in seconds."""
+    began = lease_seconds()
+    code_of(JobClient(group).ask, request_, seconds, leaderless_seconds)
+    return lease_seconds() - began
+
+
+# Guards against: a read that is held as long as a call that may have been applied, and
+# a command that is not.
+@pytest.mark.parametrize("code", ["peer_failed", "lost_leadership"])
+def test_a_read_without_an_answer_is_retried_like_a_call_that_was_not_sent(code):
+    for read in READS:
+        assert time_refusal(OneReplica(code, "no_leader"), read, 5, 0.1) < 1
+        assert time_refusal(OneReplica(code), read, 5, 0.1) < 1
+    cancel = AskCancel("1", "h", "/")
+    assert time_refusal(OneReplica(code, "no_leader"), cancel, 0.3, 0.1) >= 0.3
+
+
+# Guards against: 503 for a read because one replica answered too late, although
+# another one leads.
+def test_a_read_without_an_answer_is_asked_of_one_more_replica():
+    group = OneReplica("peer_failed", "no_leader", "peer_failed", "no_leader")
+    assert time_refusal(group, READS[0], 5, -1) < 1
+    assert group.codes == ["peer_failed", "no_leader"]
+
+
 # Guards against: 503 for a command that is in the log of a replica with a bad disk, and
 # 504 for one that is not.
 def test_only_commands_outside_the_log_are_refused_with_storage_failed(
