Names and texts of cordons and admission control, after a newcomer's reading

Modules about cordons are named for them (cordon, cordonservice, cordondrain, cordonchange, hallstatus), the view of the fleet is in fleetview, the spread of the voters in voterspread. Settings of the product say what they do (has_cordons, refuses_late_jobs) and not what the platform's contract is called. An evacuation for a cordon has a reason of its own in the log, so that nobody looks for a wave; a failed check of a connection no longer counts as a bad request; job_refused has units, the wait for a token and no infinite number.

--- a/hingepitch/admin/program.py
+++ b/hingepitch/admin/program.py
@@ -208,7 +208,10 @@
 
 
 def cordon(hall: str, *, settings: str = DEFAULT_SETTINGS):
-    """Send no more work to a hall; what runs there goes on.
+    """Start no more runs in a hall.
+
+    Runs that end by themselves finish there; long-running tasks move to other halls
+    within their disruption budgets.
 
     :param hall: name of the hall
     :param settings: the settings file of this program
--- a/hingepitch/control/hallapi.py
+++ b/hingepitch/control/hallapi.py
@@ -12,8 +12,8 @@
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import is_caller_connected
 from hingepitch.jobs.command import CordonHall, UncordonHall
-from hingepitch.jobs.hallorder import carry_out, log_change, require_hall
-from hingepitch.jobs.hallrows import hall_rows
+from hingepitch.jobs.cordonchange import apply_cordon_change, log_change, require_hall
+from hingepitch.jobs.hallstatus import hall_rows
 from hingepitch.model.command import Envelope, Role
 
 __all__ = ["HallResource"]
@@ -62,8 +62,8 @@
         its caller is still connected after that was read.
         """
         operator = self.authenticator.operator(req)
-        order = HallOrder(self, operator, hall, is_cordoned)
-        carry_out(
+        order = CordonChange(self, operator, hall, is_cordoned)
+        apply_cordon_change(
             order.read_revision,
             order.send,
             lambda: is_caller_connected(req),
@@ -73,8 +73,8 @@
         return {"hall": hall, "is_cordoned": is_cordoned}
 
 
-class HallOrder:
-    """One order of an operator, as `carry_out` needs it.
+class CordonChange:
+    """One order of an operator, as `apply_cordon_change` needs it.
 
     `resource`
         The `HallResource`.
--- a/hingepitch/control/healing.py
+++ b/hingepitch/control/healing.py
@@ -14,14 +14,14 @@
 import gevent
 
 from hingepitch.clock import lease_seconds
-from hingepitch.control.hallspread import (
+from hingepitch.control.message import Member
+from hingepitch.control.voterspread import (
     UNKNOWN_HALL,
     choose_learner,
     find_crowded_voter,
     has_room_elsewhere,
     survives_losses,
 )
-from hingepitch.control.message import Member
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.question import JoinGroup, MemberRow, encode
 from hingepitch.log import log_event
--- a/hingepitch/control/hallspread.py
+++ b/hingepitch/control/voterspread.py
@@ -1,6 +1,6 @@
 """
-hingepitch.control.hallspread
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.control.voterspread
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Spread of the voters over halls, so that the loss of one hall leaves a quorum.
 
--- a/hingepitch/group.py
+++ b/hingepitch/group.py
@@ -53,9 +53,9 @@
         of calls that missed the leader since the first such hint. Both are
         reset when a leader is found or a hint is followed.
     `silent`, `probed`
-        Addresses that did not answer the last call, and those of them at which a
-        call waits. Other calls ask other replicas meanwhile: until the next leader
-        is elected, these still name the one that does not answer.
+        Addresses whose last call got no answer, and those of them with a call in
+        progress. Other calls go elsewhere meanwhile: until the next leader is
+        elected, the other replicas still name the silent one.
     `leader_lost_at`
         When the leader stopped answering, or None while one answers.
     """
--- a/hingepitch/httpd.py
+++ b/hingepitch/httpd.py
@@ -265,7 +265,7 @@
     except ConnectionError:
         return False
     except (OSError, ValueError) as error:
-        log_event("bad_request", error=f"cannot check the connection: {error!r}")
+        log_event("connection_check_failed", error=repr(error))
         return True
 
 
--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -31,7 +31,7 @@
 from hingepitch.jobs.spec import critical_path_ms
 from hingepitch.log import log_event
 
-__all__ = ["Admission"]
+__all__ = ["AdmissionController"]
 
 #: Shortest time between two measurements of the backlog, in seconds. Jobs that are
 #: accepted in between are added to the last one.
@@ -54,7 +54,7 @@
 ARRIVING_PART = 0.5
 
 
-class Admission:
+class AdmissionController:
     """Decides during one leadership which new jobs are refused.
 
     A refusal changes nothing: a refused job uses up no token of its account, and may
@@ -258,7 +258,7 @@
         late_rank = rank._replace(is_late=True)
         candidate.wait_ms = self.wait_ms(queue.pool, late_rank) + longer_ms
         limit_ms = decided_wait_ms(queue, chain_ms, self.durations)
-        if self.session.terms.has_pressure and candidate.wait_ms > limit_ms:
+        if self.session.terms.refuses_late_jobs and candidate.wait_ms > limit_ms:
             return "cannot_finish"
         return None
 
@@ -365,13 +365,18 @@
             code=code,
             queue=queue.name,
             account=candidate.account.name if candidate.account else "",
-            wait_ms=candidate.wait_ms,
+            wait_ms=format_wait(candidate.wait_ms),
+            token_wait_ms=round(candidate.token_wait_ms),
             ahead_core_ms=round(backlog.work_ahead(work.rank)),
-            room=backlog.room,
+            capacity_millicores=backlog.room,
             retry_after_ms=retry_ms,
         )
-        error = HingepitchError(
-            code, f"estimated wait {candidate.wait_ms:.0f} ms", retry_ms
-        )
+        detail = f"estimated wait in ms: {format_wait(candidate.wait_ms)}"
+        error = HingepitchError(code, detail, retry_ms)
         self.refusal_by_call[question.id, question.key] = now, error
         raise error
+
+
+def format_wait(wait_ms):
+    """Return an estimated wait in whole milliseconds as text, for a log line."""
+    return f"{wait_ms:.0f}" if isfinite(wait_ms) else "no capacity"
--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -106,8 +106,8 @@
             How long to retry once the request may have been applied.
         `leaderless_seconds`
             How long to retry while no leader is available and the request has
-            certainly not been applied. A read, which never is, is tried once more after
-            its first attempt without an answer.
+            certainly not been applied. A read changes nothing, so this limits reads as
+            well, except that one is tried again after its first lost answer.
 
         Raises `HingepitchError`: `deadline_passed` if the request may have been
         applied, otherwise the code of the last refusal, with `no_leader` for all
--- a/hingepitch/jobs/hallorder.py
+++ b/hingepitch/jobs/cordonchange.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.hallorder
-~~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.cordonchange
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 An order to cordon or uncordon a hall, as every interface for operators carries it out:
 based on a revision that was read while its caller waits.
@@ -13,17 +13,16 @@
 from hingepitch.error import HingepitchError
 from hingepitch.log import log_event
 
-__all__ = ["carry_out", "log_change", "require_hall"]
+__all__ = ["apply_cordon_change", "log_change", "require_hall"]
 
 
-def carry_out(read_revision, send, is_connected, due, base_revision=None):
-    """Carry out an order until `due`; return what `send` returns.
+def apply_cordon_change(read_revision, send, is_connected, due, base_revision=None):
+    """Apply a change of a cordon until `due`; return what `send` returns.
 
     An order whose caller gave up must not be applied after a later, opposite one was
-    acknowledged. So the revision is read first, and only then is it checked that the
-    caller is still connected. A later order that is acknowledged after the read makes
-    the revision stale; one that was acknowledged before it came after the caller had
-    closed the connection.
+    acknowledged. So the revision is read before the connection is checked: an opposite
+    order that is acknowledged after the read makes the revision stale, and one that was
+    acknowledged before it implies that this caller has disconnected.
 
     `read_revision`
         Function that returns the revision of the cordons after all that was
--- a/hingepitch/jobs/halldrain.py
+++ b/hingepitch/jobs/cordondrain.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.halldrain
-~~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.cordondrain
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Drains long-running tasks from cordoned halls, within their disruption budgets and
 while there is room for them elsewhere.
@@ -12,15 +12,15 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.jobs.plan import PlanningPass, place_step, place_tasks
 from hingepitch.jobs.spec import TaskKey
-from hingepitch.jobs.watch import UPKEEP_REASON
+from hingepitch.jobs.watch import CORDON_REASON
 
-__all__ = ["HallDrain"]
+__all__ = ["CordonDrain"]
 
 #: Shortest time between two passes, in seconds. A pass goes over all minions.
 PASS_SECONDS = 0.1
 
 
-class HallDrain:
+class CordonDrain:
     """Moves long-running tasks out of cordoned halls during one leadership.
 
     `session`
@@ -50,7 +50,7 @@
             is_recorded = table.run_by_task.get(run.task) is run
             if is_recorded and self.may_leave(run, step, minions):
                 self.drained.add((run.task, run.number))
-                self.session.watch.evacuate(run, UPKEEP_REASON)
+                self.session.watch.evacuate(run, CORDON_REASON)
 
     def choose(self, runs):
         """Return the runs that may leave now, with their step and the minions chosen.
@@ -162,7 +162,7 @@
         key = run.task, run.number
         if self.session.step_of(run) is None or key not in self.drained:
             return False
-        if self.session.watch.evacuated.get(key) != UPKEEP_REASON:
+        if self.session.watch.evacuated.get(key) != CORDON_REASON:
             return False
         minion = self.session.table.minion_by_id.get(run.minion)
         if minion is None or minion.hall in self.session.table.cordons:
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -103,7 +103,7 @@
             self.roster.clear()
 
     def current_admission(self):
-        """Return the `Admission` of the current session.
+        """Return the `AdmissionController` of the current session.
 
         None without a session, and in a deployment that asks for no refusals: it has
         neither rates of accounts nor limits for overload.
@@ -111,7 +111,7 @@
         session = self.session
         if session is None:
             return None
-        is_wanted = session.terms.has_pressure or session.table.has_accounts
+        is_wanted = session.terms.refuses_late_jobs or session.table.has_accounts
         return session.admission if is_wanted else None
 
     def note_heartbeat(self, minion_id, clock_ms, cold_ms=None):
--- a/hingepitch/jobs/poolview.py
+++ b/hingepitch/jobs/fleetview.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.poolview
-~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.fleetview
+~~~~~~~~~~~~~~~~~~~~~~~~~
 
 What one leadership knows of the VMs that may move: the spare and the idle ones, those
 that are moving or on hold, and the view of each pool that follows from it.
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -13,7 +13,7 @@
 from hingepitch.clock import wall_ms
 from hingepitch.jobs.contact import ReplyKind
 from hingepitch.jobs.crash import CrashRegistry
-from hingepitch.jobs.hallrows import HallRow
+from hingepitch.jobs.hallstatus import HallRow
 from hingepitch.jobs.ledger import AccountLedger
 from hingepitch.jobs.record import JobStatus, TaskStatus
 from hingepitch.jobs.runview import RunViewStatus
@@ -107,7 +107,7 @@
         if estimated_ms is not None and job.status is JobStatus.SUCCEEDED:
             error_ms = job.ended_ms - estimated_ms
             self.metrics.observe(
-                "admission_error_seconds",
+                "admission_estimate_error_seconds",
                 "From the estimated to the actual end of a job.",
                 abs(error_ms) / 1000,
                 ended="late" if error_ms > 0 else "early",
--- a/hingepitch/jobs/hallrows.py
+++ b/hingepitch/jobs/hallstatus.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.hallrows
-~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.hallstatus
+~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 What operators see of each hall: its cordon, its VMs, and what runs there.
 
--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -14,8 +14,8 @@
 from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.jobs.command import BeginMove, EndMove, RemoveMinion
 from hingepitch.jobs.fleet import FleetReply
+from hingepitch.jobs.fleetview import FleetView
 from hingepitch.jobs.pool import plan_moves
-from hingepitch.jobs.poolview import FleetView
 from hingepitch.log import log_event
 
 __all__ = ["MoveController"]
--- a/hingepitch/jobs/question.py
+++ b/hingepitch/jobs/question.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from hingepitch.error import HingepitchError
-from hingepitch.jobs.hall import HallCordon
+from hingepitch.jobs.cordon import HallCordon
 from hingepitch.jobs.queue import QueueConfig
 from hingepitch.jobs.record import Minion
 from hingepitch.jobs.spec import JobSpec
@@ -53,7 +53,7 @@
     `key`
         Digest of the key that the call bears, or `NO_KEY`. None from versions that
         pass on no keys.
-    `is_refusable`
+    `knows_admission_errors`
         Whether the sender knows the error codes of admission control. Earlier versions
         would answer them with 500, from which no caller can tell that the job never
         runs.
@@ -64,7 +64,7 @@
     path: str
     spec: JobSpec
     key: bytes | None = None
-    is_refusable: bool = False
+    knows_admission_errors: bool = False
 
 
 class AskJob(Question, frozen=True):
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -30,7 +30,7 @@
     PutQueues,
     PutWave,
 )
-from hingepitch.jobs.hallservice import HallService
+from hingepitch.jobs.cordonservice import HallService
 from hingepitch.jobs.registration import MinionRegistration
 from hingepitch.log import log_event
 from hingepitch.model.command import Envelope, Role
@@ -63,7 +63,7 @@
     `accepting`
         `AsyncResult` of each job that is being recorded in the log, by id and key.
     `find_admission`
-        Function that returns the `Admission` of the current session, or None.
+        Function that returns the `AdmissionController` of the current session, or None.
     `uncertain`
         Ids of the jobs whose recording had an unknown outcome, as keys, oldest first.
     `minions`
@@ -184,7 +184,7 @@
 
         A job that the log may still come to accept is never refused.
         """
-        admission = self.find_admission() if question.is_refusable else None
+        admission = self.find_admission() if question.knows_admission_errors else None
         if admission is None or question.id in self.uncertain:
             return nullcontext()
         return admission.admitting(question, at_ms)
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -14,7 +14,7 @@
 
 from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.error import HingepitchError
-from hingepitch.jobs.admission import Admission
+from hingepitch.jobs.admission import AdmissionController
 from hingepitch.jobs.agentregistry import AgentRegistry
 from hingepitch.jobs.blame import (
     blame_of,
@@ -28,11 +28,11 @@
     SuspectLife,
 )
 from hingepitch.jobs.contact import StartOrder
+from hingepitch.jobs.cordondrain import CordonDrain
 from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
-from hingepitch.jobs.halldrain import HallDrain
-from hingepitch.jobs.hallrows import measure_halls
+from hingepitch.jobs.hallstatus import measure_halls
 from hingepitch.jobs.isolation import SuspectWaitTracker
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.mover import MoveController
@@ -87,10 +87,10 @@
         The long-running tasks that ended right after their start.
     `planner`
         The `StartPlanner` of this leadership.
-    `hall_drain`
-        The `HallDrain` of this leadership.
+    `cordon_drain`
+        The `CordonDrain` of this leadership.
     `admission`
-        The `Admission`, which decides on new jobs.
+        The `AdmissionController`, which decides on new jobs.
     `suspect_waits`
         The `SuspectWaitTracker` of the tasks that must start in isolation.
     `inherited`
@@ -105,7 +105,7 @@
         self.durations = Durations()
         self.permissions = PermissionController(self, adviser)
         self.watch = RunWatch(self)
-        self.hall_drain = HallDrain(self)
+        self.cordon_drain = CordonDrain(self)
         self.upkeep = UpkeepController(self, platform, terms.upkeep_seconds)
         self.mover = MoveController(self, platform, terms.pools, terms.move_seconds)
         self.fence = replica.core.term
@@ -119,7 +119,7 @@
         self.restarts = RestartBackoff()
         self.suspect_waits = SuspectWaitTracker(lease_seconds)
         self.planner = StartPlanner(self)
-        self.admission = Admission(self)
+        self.admission = AdmissionController(self)
         self.inherited = {
             (run.task, run.number) for run in self.table.run_by_task.values()
         }
--- a/hingepitch/jobs/share.py
+++ b/hingepitch/jobs/share.py
@@ -153,7 +153,7 @@
             self.bucket(account, 0).put_back(account.weight)
 
     def confirm(self, table, account, job_id):
-        """Note that a job of an account was accepted: it is forgotten with its record.
+        """Keep whether an accepted job is beyond the rate until its record is gone.
 
         If another account's call with this id was accepted instead, undo the count.
         """
--- a/hingepitch/jobs/startplanner.py
+++ b/hingepitch/jobs/startplanner.py
@@ -55,7 +55,7 @@
         if self.table.ready_steps:
             self.start_ready_tasks()
         # Afterwards, so that room that waiting tasks take is not counted on.
-        self.session.attempt("hall_drain", self.session.hall_drain.run_pass)
+        self.session.attempt("cordon_drain", self.session.cordon_drain.run_pass)
 
     def start_ready_tasks(self):
         """Plan the starts of waiting tasks and record them."""
--- a/hingepitch/jobs/terms.py
+++ b/hingepitch/jobs/terms.py
@@ -47,7 +47,7 @@
         Whether the tasks of a long-running step are spread over halls.
     `pools`
         The `PoolTerms`, which decide when VMs change pool.
-    `has_pressure`
+    `refuses_late_jobs`
         Whether jobs that cannot end while their end is of use are refused.
     """
 
@@ -64,7 +64,7 @@
     takes_cold_last: bool = False
     spreads_over_halls: bool = False
     pools: PoolTerms = PoolTerms()
-    has_pressure: bool = False
+    refuses_late_jobs: bool = False
 
     @property
     def confirmed_expiry_seconds(self):
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -17,7 +17,7 @@
 from hingepitch.jobs.spec import format_task
 from hingepitch.log import log_event
 
-__all__ = ["UPKEEP_REASON", "RunWatch"]
+__all__ = ["BUDGETED_REASONS", "CORDON_REASON", "UPKEEP_REASON", "RunWatch"]
 
 #: Long-poll wait on a minion where fillers run beside serving tasks, in
 #: milliseconds. Interference must be detected and ended within a few seconds.
@@ -33,9 +33,11 @@
 WARMING_POLL_MS = 200
 WARMING_SECONDS = 2.0
 
-#: Evacuation reason that is subject to the disruption budget of the run's step. A
+#: Evacuation reasons that are subject to the disruption budget of the run's step. A
 #: run evacuated for another reason would end anyway.
 UPKEEP_REASON = "upkeep"
+CORDON_REASON = "cordon"
+BUDGETED_REASONS = frozenset((UPKEEP_REASON, CORDON_REASON))
 
 #: Number of stops for a stall after which the stall timeout of a task doubles with
 #: each further stop, and the maximum number of doublings.
@@ -98,22 +100,23 @@
         return age >= self.session.terms.expiry_delay_seconds
 
     def exceeds_budget(self, run):
-        """Whether a stop for maintenance would now exceed the disruption budget.
+        """Whether a stop for maintenance or a cordon would exceed the budget now.
 
         Other tasks of the step may have become unavailable since the decision,
         while the stop waited for its turn, for a confirmation of the leadership or
         for an answer. A stop that is no longer needed exceeds any budget.
         """
-        if self.session.hall_drain.is_withdrawn(run):
+        if self.session.cordon_drain.is_withdrawn(run):
             return True
         step = self.session.step_of(run)
-        if self.evacuated.get((run.task, run.number)) != UPKEEP_REASON or step is None:
+        reason = self.evacuated.get((run.task, run.number))
+        if reason not in BUDGETED_REASONS or step is None:
             return False
         return step.lasts and not self.is_within_budget(run, step)
 
     def withdraw_evacuation(self, run):
-        """Withdraw an evacuation for maintenance; it may be decided again later."""
-        self.session.hall_drain.note_withdrawal(run)
+        """Withdraw an evacuation that a budget limits; it may be decided again."""
+        self.session.cordon_drain.note_withdrawal(run)
         if self.evacuated.pop((run.task, run.number), None) is None:
             return
         log_event(
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -70,6 +70,7 @@
     "job_cancelled": "INFO",
     "queues_put": "INFO",
     "wave_put": "INFO",
+    "connection_check_failed": "WARNING",
     "hall_cordoned": "INFO",
     "hall_uncordoned": "INFO",
     "upkeep_step": "INFO",
--- a/hingepitch/patch.py
+++ b/hingepitch/patch.py
@@ -22,8 +22,8 @@
     config.loop = "libev-cext"
     config.libev_backend = "epoll"
     notify = events.notify_and_call_entry_points
-    # At each of 25 steps gevent looks for plug-ins in all installed packages. There are
-    # none, and the search takes a third of the start of a program.
+    # gevent searches all installed packages for plug-ins at each step of the patch.
+    # The programs have none, and the search slows their start.
     events.notify_and_call_entry_points = events.notify
     try:
         monkey.patch_all()
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -627,7 +627,7 @@
         "VMs in maintenance count as present",
         (
             (
-                "jobs/poolview.py",
+                "jobs/fleetview.py",
                 "                view.present -= "
                 "count_unavailable(usable, in_upkeep)\n",
                 "",
--- a/standin/hall_faults.py
+++ b/standin/hall_faults.py
@@ -30,7 +30,7 @@
         "spare VMs of a cordoned hall are moved into pools",
         (
             (
-                "jobs/poolview.py",
+                "jobs/fleetview.py",
                 "is_usable = not self.is_cordoned(self.hall_of(vm))",
                 "is_usable = True",
             ),
@@ -54,7 +54,7 @@
         "long-running tasks leave a cordoned hall without regard to waiting ones",
         (
             (
-                "jobs/halldrain.py",
+                "jobs/cordondrain.py",
                 "leaving = self.reserve_owed_room(work)",
                 "leaving = set()",
             ),
@@ -66,7 +66,7 @@
         "long-running tasks leave a cordoned hall without regard to their budget",
         (
             (
-                "jobs/halldrain.py",
+                "jobs/cordondrain.py",
                 "and self.session.watch.is_within_budget(run, step)",
                 "and True",
             ),
@@ -79,7 +79,7 @@
         (
             (
                 "jobs/watch.py",
-                "if self.session.hall_drain.is_withdrawn(run):",
+                "if self.session.cordon_drain.is_withdrawn(run):",
                 "if False:",
             ),
         ),
--- a/standin/site.py
+++ b/standin/site.py
@@ -81,7 +81,7 @@
         Seed by which minions crash, leave and start again. Default: they do not.
     `has_accounts`
         Whether calls need the key of a client account. Default: False.
-    `has_places`
+    `has_cordons`
         Whether operators may cordon halls. Default: False.
     `down`
         Addresses of the processes that are not running: killed by this object,
@@ -101,11 +101,11 @@
         is_journaled=False,
         restart_seed=None,
         has_accounts=False,
-        has_places=False,
+        has_cordons=False,
     ):
         self.is_journaled = is_journaled
         self.has_accounts = has_accounts
-        self.has_places = has_places
+        self.has_cordons = has_cordons
         self.down = set()
         self.stopping = set()
         self.ended = []
@@ -162,7 +162,8 @@
             "fault_tolerance": {"machines": (len(self.control_ips) - 1) // 2},
             "bounds": {"hold_max_ms": 3000, "grace_s": 3},
             "heartbeat_ms": 500,
-            "contracts": ["tenants"] * self.has_accounts + ["places"] * self.has_places,
+            "contracts": ["tenants"] * self.has_accounts
+            + ["places"] * self.has_cordons,
             "zones": {"hall-a": "region", "hall-b": "region"},
         }
         (self.folder / f"{ip}.yaml").write_text(yaml.safe_dump(settings))
