Requests without a leader ask less and less often

Since only one request at a time waits at a silent leader, all others asked the other replicas every 30 ms, up to 0.8 s and from each entry. That loads the replicas that elect the next leader and the leader itself in its first moments. The pause doubles from 30 to 120 ms.

--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -38,8 +38,11 @@
 #: wait would keep callers from trying another entry.
 LEADER_WAIT_SECONDS = 0.8
 
-#: Pause between two attempts of a request, in seconds.
-PAUSE_SECONDS = 0.03
+#: Pauses between two attempts of a request, in seconds: the first, which is doubled
+#: after each attempt, and the longest. Without a leader all waiting requests ask the
+#: replicas that are electing one.
+MIN_PAUSE_SECONDS = 0.03
+MAX_PAUSE_SECONDS = 0.12
 
 #: Error codes which guarantee that the request changed nothing.
 UNAPPLIED_CODES = frozenset(
@@ -117,6 +120,7 @@
         began = lease_seconds()
         is_read = isinstance(question, READ_REQUESTS)
         is_outcome_unknown = False
+        pause = MIN_PAUSE_SECONDS
         while True:
             try:
                 return self.ask_once(question)
@@ -131,7 +135,8 @@
                 if not is_transient or lease_seconds() > until:
                     may_be_applied = is_outcome_unknown and not is_read
                     raise self.final_error(error, may_be_applied) from None
-            gevent.sleep(PAUSE_SECONDS)
+            gevent.sleep(pause)
+            pause = min(MAX_PAUSE_SECONDS, 2 * pause)
 
     def ask_once(self, question):
         """Send the request once: locally if this replica leads, else to the group."""
--- a/tests/test_true_answers.py
+++ b/tests/test_true_answers.py
@@ -211,3 +211,19 @@
 def test_a_call_is_retried_while_its_caller_waits(header, seconds):
     req = SimpleNamespace(get_header=lambda name: header)
     assert retry_seconds(req) == pytest.approx(seconds)
+
+
+# Guards against requests that all ask every 30 ms while there is no leader: they load
+# the replicas that are electing one, and the leader that is elected.
+def test_requests_ask_less_often_the_longer_there_is_no_leader():
+    attempts = []
+
+    def refuse(method, *arguments):
+        attempts.append(lease_seconds())
+        raise HingepitchError("not_leader")
+
+    client = JobClient(SimpleNamespace(call_once=refuse))
+    assert code_of(client.ask, AskJob("1", "h", "/"), 0.8, 0.8) == "no_leader"
+    assert 3 <= len(attempts) <= 10
+    pauses = [late - early for early, late in zip(attempts, attempts[1:], strict=False)]
+    assert pauses[-1] >= 0.1
