--- a/hingepitch/jobs/upkeep.py
+++ b/hingepitch/jobs/upkeep.py
@@ -13,7 +13,6 @@
 
 from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.jobs.command import BeginUpkeep, SettleUpkeep
-from hingepitch.jobs.drainorder import find_urgent_vms
 from hingepitch.jobs.fleet import FleetReply, VmState
 from hingepitch.jobs.record import UpkeepStage
 from hingepitch.jobs.watch import UPKEEP_REASON
@@ -144,11 +143,7 @@
         self.drain_leaving(wave, now)
 
     def choose_leaving(self, wave, now):
-        """Choose the VMs to drain next, in their `leaving_order`.
-
-        Idle VMs of cordoned halls and urgent ones go first, and are only limited by
-        the number of VMs that the wave may take down.
-        """
+        """Choose the VMs to drain next, in their `leaving_order`."""
         chosen = [vm for vm in wave.vms_waiting if vm in self.leaving_since_by_vm]
         taken = len(wave.vms_down) + len(chosen)
         moving = self.session.table.move_by_vm
@@ -156,26 +151,14 @@
             vm for vm in wave.vms_waiting if vm not in chosen and vm not in moving
         ]
         others.sort(key=self.leaving_order)
-        idle = [vm for vm in others if self.is_idle_in_cordoned_hall(vm)]
-        urgent = self.find_urgent(wave, chosen).intersection(others)
-        first = list(dict.fromkeys([*idle, *sorted(urgent)]))
+        # The idle ones of cordoned halls are first in this order.
+        unused = sum(map(self.is_idle_in_cordoned_hall, others))
         free = self.allowed_down(wave) - taken
-        count = max(0, free, min(len(first), wave.max_down - taken))
-        for vm in list(dict.fromkeys(first + others))[:count]:
+        count = max(0, free, min(unused, wave.max_down - taken))
+        for vm in others[:count]:
             self.leaving_since_by_vm[vm] = now
             log_event("upkeep_step", wave=wave.number, vm=vm, step="emptying")
 
-    def find_urgent(self, wave, chosen):
-        """Return the VMs that have to be drained now for a wave to end in time."""
-        seconds_left = (wave.due_ms - wall_ms()) / 1000
-        each = self.upkeep_seconds + TURNAROUND_SECONDS
-        return find_urgent_vms(
-            self.session.table,
-            wave.vms_waiting,
-            chosen,
-            DEADLINE_PART * seconds_left - each,
-        )
-
     def is_idle_in_cordoned_hall(self, vm):
         """Whether a VM has no runs and gets none: waiting tasks cannot use it."""
         return self.is_in_cordoned_hall(vm) and not self.runs_on(vm)
