The remaining warm-up of a minion has a name of the product

cold_ms is the platform's name for it and stood in six modules of jobs/. Only the adapter uses it now; the product says warm_up_ms, also in the request NoteBeat, which no landed version has sent with this field. No behaviour changed.

--- a/hingepitch/jobs/agentregistry.py
+++ b/hingepitch/jobs/agentregistry.py
@@ -103,7 +103,7 @@
         if successor is not None:
             successor.inherit(agent)
 
-    def note_cold(self, minion_id, cold_ms):
+    def note_cold(self, minion_id, warm_up_ms):
         """Note for how long the recorded incarnation of a minion is still cold.
 
         Its first heartbeat comes before the agent, which the next planning pass
@@ -114,9 +114,9 @@
             return
         agent = self.by_minion.get(minion_id)
         if agent is not None and is_same_birth(agent.minion.born_ms, minion.born_ms):
-            agent.warmth = agent.warmth.updated(cold_ms, lease_seconds())
-        elif cold_ms:
-            warmth = WARM.updated(cold_ms, lease_seconds())
+            agent.warmth = agent.warmth.updated(warm_up_ms, lease_seconds())
+        elif warm_up_ms:
+            warmth = WARM.updated(warm_up_ms, lease_seconds())
             self.early_warmth_by_minion[minion_id] = warmth
         else:
             self.early_warmth_by_minion.pop(minion_id, None)
--- a/hingepitch/jobs/dispatch.py
+++ b/hingepitch/jobs/dispatch.py
@@ -114,10 +114,10 @@
         is_wanted = session.terms.refuses_late_jobs or session.table.has_accounts
         return session.admission if is_wanted else None
 
-    def note_heartbeat(self, minion_id, clock_ms, cold_ms=None):
+    def note_heartbeat(self, minion_id, clock_ms, warm_up_ms=None):
         """Pass a heartbeat on to the current session, if there is one."""
         if self.session is not None:
-            self.session.note_heartbeat(minion_id, clock_ms, cold_ms)
+            self.session.note_heartbeat(minion_id, clock_ms, warm_up_ms)
 
     def blame_for(self, life):
         """Return the `Blame` for an incarnation that has ended.
--- a/hingepitch/jobs/question.py
+++ b/hingepitch/jobs/question.py
@@ -175,7 +175,7 @@
         Increases with every call of one incarnation.
     `clock_ms`
         The minion's monotonic clock, or None.
-    `cold_ms`
+    `warm_up_ms`
         For how long the minion is still slow after its start; 0: it is warm, or the
         sender is a version that does not pass it on.
     """
@@ -183,7 +183,7 @@
     minion: Minion
     sequence: int
     clock_ms: int | None
-    cold_ms: int = 0
+    warm_up_ms: int = 0
 
 
 class NoteLeaving(Question, frozen=True):
--- a/hingepitch/jobs/roster.py
+++ b/hingepitch/jobs/roster.py
@@ -65,8 +65,8 @@
         if self.on_heartbeat is None:
             return
         newest = self.sequence_by_incarnation.get(incarnation_key(heartbeat))
-        cold_ms = heartbeat.cold_ms if newest == heartbeat.sequence else None
-        self.on_heartbeat(heartbeat.minion.id, heartbeat.clock_ms, cold_ms)
+        warm_up_ms = heartbeat.warm_up_ms if newest == heartbeat.sequence else None
+        self.on_heartbeat(heartbeat.minion.id, heartbeat.clock_ms, warm_up_ms)
 
 
 def incarnation_key(heartbeat):
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -465,14 +465,14 @@
         """The agents in service, by incarnation of a minion."""
         return self.agents.by_minion
 
-    def note_heartbeat(self, minion_id, clock_ms, cold_ms=None):
+    def note_heartbeat(self, minion_id, clock_ms, warm_up_ms=None):
         """Pass the heartbeat of a minion to its agent, if it has one.
 
-        `cold_ms`
+        `warm_up_ms`
             For how long the minion is still cold, or None if that is not told.
         """
         agent = self.agent_by_minion.get(minion_id)
         if agent is not None:
             agent.note_heartbeat(clock_ms)
-        if cold_ms is not None and self.terms.takes_cold_last:
-            self.agents.note_cold(minion_id, cold_ms)
+        if warm_up_ms is not None and self.terms.takes_cold_last:
+            self.agents.note_cold(minion_id, warm_up_ms)
--- a/hingepitch/jobs/warmth.py
+++ b/hingepitch/jobs/warmth.py
@@ -37,13 +37,13 @@
             return 1.0
         return max(0.0, 1 - (self.warm_at - now) / self.initial_seconds)
 
-    def updated(self, cold_ms, now):
-        """Return the warmth after a heartbeat that says `cold_ms` at `now`.
+    def updated(self, warm_up_ms, now):
+        """Return the warmth after a heartbeat that says `warm_up_ms` at `now`.
 
         A time in the past is kept as the end of the warm-up: runs that began before
         it are still to be told from the others.
         """
-        cold_seconds = cold_ms / 1000
+        cold_seconds = warm_up_ms / 1000
         if not cold_seconds:
             return Warmth(min(self.warm_at, now), self.initial_seconds)
         return Warmth(now + cold_seconds, self.initial_seconds or cold_seconds)
--- a/tests/test_cold_heartbeats.py
+++ b/tests/test_cold_heartbeats.py
@@ -33,7 +33,7 @@
 
 
 class EarlierNoteBeat(msgspec.Struct, tag="NoteBeat", frozen=True):
-    """The request as builds without `cold_ms` know it."""
+    """The request as builds without `warm_up_ms` know it."""
 
     minion: object
     sequence: int
@@ -59,11 +59,11 @@
         session = self.harness.dispatcher.session
         return session and session.agent_by_minion.get(self.minion.life)
 
-    def deliver(self, sequence, cold_ms, **changes):
+    def deliver(self, sequence, warm_up_ms, **changes):
         fields = {"id": self.minion.life, "cpu_millicores": 16_000, **changes}
         record = make_minion(0, **fields)
         clock_ms = self.minion.clock_ms()
-        self.service.answer(NoteBeat(record, sequence, clock_ms, cold_ms))
+        self.service.answer(NoteBeat(record, sequence, clock_ms, warm_up_ms))
 
     def cold_seconds(self):
         return self.agent.warmth.warm_at - lease_seconds()
@@ -85,25 +85,25 @@
 # Guards against a warm-up that is not decoded, and against a heartbeat that is refused
 # for one that cannot be true: the minion would be lost.
 @pytest.mark.parametrize(
-    ("told", "cold_ms"),
+    ("told", "warm_up_ms"),
     [({}, 0), ({"cold_ms": 0}, 0), ({"cold_ms": 2500}, 2500)]
     + [({"cold_ms": 3_600_000}, 3_600_000), ({"cold_ms": 3_600_001}, 0)]
     + [({"cold_ms": 10**30}, 0)],
 )
-def test_the_warm_up_is_decoded_and_an_impossible_one_counts_as_warm(told, cold_ms):
+def test_the_warm_up_is_decoded_and_an_impossible_one_counts_as_warm(told, warm_up_ms):
     heartbeat = decode_heartbeat("i-1", json.dumps({**BODY, **told}).encode())
-    assert heartbeat.cold_ms == cold_ms
+    assert heartbeat.warm_up_ms == warm_up_ms
 
 
 # Guards against a heartbeat that versions without this field have accepted and that is
 # refused now: the minion would be lost where nobody asks for the warm-up.
 @pytest.mark.parametrize(
-    ("value", "cold_ms"),
+    ("value", "warm_up_ms"),
     [(-1, 0), (1.5, 1), ("9", 0), (None, 0), (True, 0), ([7], 0), ({}, 0)],
 )
-def test_a_warm_up_that_is_no_time_does_not_refuse_the_heartbeat(value, cold_ms):
+def test_a_warm_up_that_is_no_time_does_not_refuse_the_heartbeat(value, warm_up_ms):
     data = json.dumps({**BODY, "cold_ms": value}).encode()
-    assert decode_heartbeat("i-1", data).cold_ms == cold_ms
+    assert decode_heartbeat("i-1", data).warm_up_ms == warm_up_ms
 
 
 # Guards against heartbeats that get lost between replicas during an upgrade.
@@ -154,8 +154,8 @@
 
 
 # Guards against a warm-up that a new incarnation under the same id inherits.
-@pytest.mark.parametrize("cold_ms", [0, 3000])
-def test_a_new_incarnation_starts_from_its_own_report(make_scene, cold_ms):
+@pytest.mark.parametrize("warm_up_ms", [0, 3000])
+def test_a_new_incarnation_starts_from_its_own_report(make_scene, warm_up_ms):
     scene = make_scene()
     scene.deliver(1, 9000, born_ms=5)
     agents = scene.harness.dispatcher.session.agents
@@ -163,10 +163,10 @@
     before = scene.agent
     record = make_minion(0, id=scene.minion.life, born_ms=9)
     scene.harness.log.send(commands.BeginIncarnation(record, 0))
-    agents.note_cold(scene.minion.life, cold_ms)
+    agents.note_cold(scene.minion.life, warm_up_ms)
     agents.reconcile()
     assert scene.agent is not before
-    assert scene.agent.warmth.initial_seconds == cold_ms / 1000
+    assert scene.agent.warmth.initial_seconds == warm_up_ms / 1000
 
 
 # Guards against a volatile value in the log or in snapshots, which all replicas and
