Report the load of queues, pools and the leader once a second

Change: `queue_load`, `leader_load` and three fields of `pool_load`, one line each a second; the metrics `queue_jobs`, `queue_oldest_wait_seconds`, `loop_delay_seconds` and `planning_seconds`, for 64 queues at most. The reports move from the session to a module of their own. The planner notes since when each ready step waits, which the wait for a rack used to note for its steps alone. No decision changes.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -358,6 +358,7 @@
             limit_ms = longest_wait_ms(queue, candidate.chain_ms, self.durations)
             place, wait_ms = queue.pool, candidate.wait_ms - limit_ms
             spacing_ms = 1000 * work.core_ms / backlog.room
+        self.session.gauge.queues.note_refused(queue)
         retry_ms = self.retries.reserve((code, place), wait_ms, spacing_ms, 1000 * now)
         log_event(
             "job_refused",
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -9,12 +9,14 @@
 """
 
 from collections import Counter
+from dataclasses import asdict
 
 from hingepitch.clock import wall_ms
 from hingepitch.jobs.contact import ReplyKind
 from hingepitch.jobs.crash import CrashRegistry
 from hingepitch.jobs.hallstatus import HallRow
 from hingepitch.jobs.ledger import AccountLedger
+from hingepitch.jobs.queuemeter import QueueCounts, QueueMeter
 from hingepitch.jobs.record import JobStatus, TaskStatus
 from hingepitch.jobs.runview import RunViewStatus
 
@@ -34,6 +36,9 @@
 #: Limit of the halls that have metrics of their own.
 MAX_SHOWN_HALLS = 64
 
+#: Limit of the queues that have metrics of their own.
+MAX_SHOWN_QUEUES = 64
+
 
 class DispatchGauge:
     """Records counters, gauges and latency histograms during one leadership.
@@ -48,6 +53,10 @@
         Names of the client accounts that have had a metric.
     `shown_halls`
         Names of the halls that have had a metric.
+    `shown_queues`
+        Names of the queues that have had a metric.
+    `queues`
+        The `QueueMeter`.
     """
 
     def __init__(self, metrics, session):
@@ -55,6 +64,8 @@
         self.session = session
         self.shown_accounts = set()
         self.shown_halls = set()
+        self.shown_queues = set()
+        self.queues = QueueMeter()
         self.estimated_end_ms_by_job = {}
 
     def note_commit(self, command, seconds):
@@ -76,6 +87,7 @@
             job = self.session.table.job_by_id.get(run.task.job)
             if job is not None and not job.spec.times:
                 self.observe_since("first_start_seconds", job, wall_ms())
+                self.queues.note_started(self.session.table.current_queue(job))
                 self.note_account_wait(job)
 
     def note_ends(self, ends, cause, at_ms):
@@ -113,6 +125,47 @@
                 ended="late" if error_ms > 0 else "early",
             )
 
+    def note_queues(self, counts_by_queue):
+        """Add what became of the jobs of the first `MAX_SHOWN_QUEUES` queues.
+
+        `counts_by_queue`
+            The `QueueCounts` of the queues that had jobs, by name. In others no step
+            waits.
+        """
+        for name in counts_by_queue:
+            if len(self.shown_queues) >= MAX_SHOWN_QUEUES:
+                break
+            self.shown_queues.add(name)
+        for name in self.shown_queues:
+            self.note_queue(name, counts_by_queue.get(name, QueueCounts()))
+
+    def note_queue(self, name, counts):
+        """Add the `QueueCounts` of one queue."""
+        outcomes = asdict(counts)
+        oldest_wait_ms = outcomes.pop("oldest_wait_ms")
+        for outcome, count in outcomes.items():
+            if count:
+                self.metrics.count(
+                    "queue_jobs", "Jobs.", count, queue=name, outcome=outcome
+                )
+        self.metrics.set(
+            "queue_oldest_wait_seconds",
+            "How long the oldest ready step of a queue has waited.",
+            oldest_wait_ms / 1000,
+            queue=name,
+        )
+
+    def note_leader(self, planning_seconds, longest_delay_seconds):
+        """Add the time of planning passes; set the longest delay of the event loop."""
+        self.metrics.count(
+            "planning_seconds", "Time of planning passes.", planning_seconds
+        )
+        self.metrics.set(
+            "loop_delay_seconds",
+            "Longest delay of the event loop in the last second.",
+            longest_delay_seconds,
+        )
+
     def note_failure(self, name):
         """Count a failure that was contained in one part of the leader's work."""
         self.metrics.count(
@@ -266,6 +319,7 @@
         self.note_suspects(CrashRegistry())
         self.note_accounts(AccountLedger())
         self.note_halls(())
+        self.note_queues({})
 
     def observe_since(self, name, job, at_ms, **labels):
         """Record the time from a job's acceptance until `at_ms` since the epoch."""
--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -69,6 +69,9 @@
         Pairs of VM kind and pool that the platform has refused.
     `moved_at_by_vm`
         When the platform confirmed a move whose VM has not registered since.
+    `wanted_by_pool`, `idle_by_pool`
+        How many VMs each pool wanted, and how many of its VMs were idle, at the last
+        decision.
     `has_shortage`
         Whether a pool wants more VMs than it has, begun moves included.
     `wake`
@@ -87,6 +90,8 @@
         self.moved_at_by_vm = {}
         self.listed_at = 0.0
         self.wake = Event()
+        self.wanted_by_pool = {}
+        self.idle_by_pool = {}
         self.has_shortage = False
         self.gather_seconds = GATHER_SECONDS
 
@@ -119,6 +124,8 @@
                 self.session.spawn_guarded("move", self.abandon, vm, pool)
         self.done &= set(table.move_by_vm.items())
         views = list(self.views(config, now))
+        self.wanted_by_pool = {view.name: view.wanted for view in views}
+        self.idle_by_pool = {view.name: len(view.idle) for view in views}
         is_known = self.demand.is_known(now)
         moves = plan_moves(views, self.terms, self.impossible, is_known)
         for move in list(moves):
--- a/hingepitch/jobs/poller.py
+++ b/hingepitch/jobs/poller.py
@@ -222,6 +222,7 @@
                 gevent.sleep(IDLE_RETRY_SECONDS if idle else RETRY_SECONDS)
             return
         self.listed_at = lease_seconds()
+        self.agent.session.load_reporter.note_poll(len(result.ended))
         if wait_ms == 0:
             self.agent.reply_time.note(self.listed_at - sent_at)
         self.agent.session.withdraw_suspicion(self.agent.minion.id)
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -32,9 +32,9 @@
 from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import DispatchGauge
-from hingepitch.jobs.hallstatus import measure_halls
 from hingepitch.jobs.isolation import SuspectWaitTracker
 from hingepitch.jobs.load import measure_pools
+from hingepitch.jobs.loadreport import LoadReporter
 from hingepitch.jobs.mover import MoveController
 from hingepitch.jobs.permission import PermissionController
 from hingepitch.jobs.record import RunResult
@@ -59,9 +59,6 @@
 #: Maximum time between two planning passes, in seconds.
 PASS_SECONDS = 0.1
 
-#: Interval between two log lines on the load of each pool, in seconds.
-LOAD_LOG_SECONDS = 1.0
-
 #: Pause after a status poll that returns at once, in seconds.
 POLL_PAUSE_SECONDS = 0.1
 
@@ -91,6 +88,8 @@
         The `CordonDrain` of this leadership.
     `admission`
         The `AdmissionController`, which decides on new jobs.
+    `load_reporter`
+        The `LoadReporter` of this leadership.
     `suspect_waits`
         The `SuspectWaitTracker` of the tasks that must start in isolation.
     `inherited`
@@ -120,6 +119,7 @@
         self.suspect_waits = SuspectWaitTracker(lease_seconds)
         self.planner = StartPlanner(self)
         self.admission = AdmissionController(self)
+        self.load_reporter = LoadReporter(self)
         self.inherited = {
             (run.task, run.number) for run in self.table.run_by_task.values()
         }
@@ -204,6 +204,7 @@
     def note_order(self, order, run, reply):
         """Log an order and the minion's reply."""
         self.gauge.note_order(order, run, reply)
+        self.load_reporter.note_order(reply)
         log_event(
             "run_ordered",
             order=order,
@@ -341,7 +342,12 @@
 
     def run(self):
         """Run the planning loop until the leadership ends."""
-        for loop in (self.keep_confirming, self.follow_changes, self.log_loads):
+        for loop in (
+            self.keep_confirming,
+            self.follow_changes,
+            self.load_reporter.run,
+            self.load_reporter.loop_delay.run,
+        ):
             self.spawn(loop)
         if self.upkeep.platform is not None:
             self.spawn(self.upkeep.run)
@@ -429,33 +435,6 @@
                 self.mover.wake.set()
             gevent.sleep(0)
 
-    def log_loads(self):
-        """Log the load of each pool at intervals."""
-        while True:
-            gevent.sleep(LOAD_LOG_SECONDS)
-            self.attempt("loads", self.log_load)
-
-    def log_load(self):
-        """Log the load of each pool once and update the metrics."""
-        agents, now = list(self.agent_by_minion.values()), lease_seconds()
-        self.gauge.note_minions(agents, now)
-        self.gauge.note_waiting(self.table)
-        self.gauge.note_suspects(self.table.crashes)
-        self.gauge.note_accounts(self.table.ledger)
-        self.gauge.note_halls(measure_halls(self.table, wall_ms()), agents, now)
-        for pool, load in self.measure_pools().items():
-            log_event(
-                "pool_load",
-                pool=pool,
-                minions=load.minions,
-                room=load.room,
-                running=load.running,
-                lasting=load.lasting,
-                waiting=load.waiting,
-                waiting_late=load.waiting_late,
-                waiting_tasks=load.waiting_tasks,
-            )
-
     def measure_pools(self):
         """Return the current `PoolLoad` of each pool, by name."""
         return measure_pools(self.table, wall_ms(), self.durations)
--- a/hingepitch/jobs/startplanner.py
+++ b/hingepitch/jobs/startplanner.py
@@ -28,8 +28,8 @@
         The `Session` of the leadership.
     `shares`
         The `ShareMeter` of the client accounts.
-    `rack_wait_since_by_step`
-        When this leadership first saw each waiting `same_rack` step, by step.
+    `ready_since_by_step`
+        When this leadership first saw each step ready, by step.
     `gather_seconds`
         For how long changes are collected before the next pass.
     """
@@ -37,7 +37,7 @@
     def __init__(self, session):
         self.session = session
         self.shares = ShareMeter(session.gauge.note_excess_job)
-        self.rack_wait_since_by_step = {}
+        self.ready_since_by_step = {}
         self.gather_seconds = GATHER_SECONDS
 
     @property
@@ -61,8 +61,10 @@
         """Plan the starts of waiting tasks and record them."""
         began = lease_seconds()
         starts, gangs = plan_starts(self.table, self.plan_context())
+        took = lease_seconds() - began
+        self.session.load_reporter.note_pass(took)
         # Planning takes at most half of the time, however much work waits.
-        self.gather_seconds = max(GATHER_SECONDS, lease_seconds() - began)
+        self.gather_seconds = max(GATHER_SECONDS, took)
         if starts or gangs:
             self.session.propose(StartRuns(starts, gangs, wall_ms()))
             self.session.agents.reconcile()
@@ -78,6 +80,7 @@
     def plan_context(self):
         """Return the planner's input that is not in the job table."""
         now = lease_seconds()
+        self.note_ready(now)
         session = self.session
         agents = session.agent_by_minion
         usable = self.usable_minions(now)
@@ -109,16 +112,19 @@
             if permissions.advice_terms(step_key) is not None
         }
 
-    def rack_waited_ms(self, now):
-        """Return how long each ready `same_rack` step has waited, by step."""
-        self.rack_wait_since_by_step = {
-            key: self.rack_wait_since_by_step.get(key, now)
+    def note_ready(self, now):
+        """Note since when each ready step has been ready."""
+        self.ready_since_by_step = {
+            key: self.ready_since_by_step.get(key, now)
             for key in self.table.ready_steps
-            if self.table.job_by_id[key[0]].spec.steps[key[2]].same_rack
         }
+
+    def rack_waited_ms(self, now):
+        """Return how long each ready `same_rack` step has waited, by step."""
         return {
             key: (now - since) * 1000
-            for key, since in self.rack_wait_since_by_step.items()
+            for key, since in self.ready_since_by_step.items()
+            if self.table.job_by_id[key[0]].spec.steps[key[2]].same_rack
         }
 
     def open_due_rounds(self):
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -94,6 +94,8 @@
     "pace_set": "INFO",
     "move_step": "INFO",
     "pool_load": "INFO",
+    "queue_load": "INFO",
+    "leader_load": "INFO",
     "run_evacuated": "INFO",
     "evacuation_taken_back": "INFO",
     "run_ended": "INFO",
--- /dev/null
+++ b/hingepitch/loopdelay.py
@@ -0,0 +1,56 @@
+"""
+hingepitch.loopdelay
+~~~~~~~~~~~~~~~~~~~~
+
+Measures by how much the event loop of a process is late.
+
+:copyright: Copyright 2026 by the hingepitch maintainers.
+:license: BSD, see LICENSE for details.
+"""
+
+import gevent
+
+from hingepitch.clock import lease_seconds
+
+__all__ = ["LoopDelay"]
+
+#: Interval between two measurements, in seconds.
+INTERVAL_SECONDS = 0.02
+
+#: Weight of a new measurement in the moving average.
+GAIN = 1 / 8
+
+
+class LoopDelay:
+    """How late the timers of the event loop fire, in seconds.
+
+    The delay grows with the number of greenlets that are ready to run, so it shows
+    that a process uses all of its processor.
+
+    `average`
+        Moving average of the delay.
+    `largest`
+        Largest delay since the last `take_largest`.
+    """
+
+    def __init__(self):
+        self.average = 0.0
+        self.largest = 0.0
+
+    def run(self):
+        """Measure the delay periodically until killed."""
+        while True:
+            began = lease_seconds()
+            gevent.sleep(INTERVAL_SECONDS)
+            self.note(lease_seconds() - began - INTERVAL_SECONDS)
+
+    def note(self, seconds):
+        """Add a measured delay."""
+        delay = max(0.0, seconds)
+        self.average += GAIN * (delay - self.average)
+        self.largest = max(self.largest, delay)
+
+    def take_largest(self):
+        """Return the largest delay since the last call."""
+        largest, self.largest = self.largest, 0.0
+        return largest
--- a/tests/test_admission_session.py
+++ b/tests/test_admission_session.py
@@ -49,8 +49,9 @@
     session.confirm_leadership(lease_seconds())
 
 
-# Guards against an admission control that the job service never asks, and against a
-# refusal, or what it rests on, that outlives its session.
+# Guards against an admission control that the job service never asks, against a
+# refusal, or what it rests on, that outlives its session, and against refusals that no
+# figure of their queue shows.
 def test_a_job_that_one_leader_refuses_is_accepted_by_the_next(harness):
     fill(harness)
     refused = question(BACKLOG_JOBS)
@@ -58,6 +59,8 @@
         with pytest.raises(HingepitchError) as caught:
             harness.service.answer(refused)
         assert caught.value.code == "cannot_finish"
+    counts = harness.dispatcher.session.gauge.queues.counts_by_queue["q"]
+    assert counts.refused == 1
     harness.restart_leadership()
     harness.service.answer(refused)
     assert refused.id in harness.log.table.job_by_id
