Measure the backlog only for jobs that it may refuse

Cause: the leader lacks processor time there. Each new job of an account with a weight measured the backlog of all pools, for up to a tenth of the leader's time, although only a job beyond its account's rate, or any job where late jobs are refused, can be refused for it.

Change: only such a job measures the backlog; the work of others is measured by the capacity seen last.

The new test fails on the code before: it measures for a job within its rate.

--- a/hingepitch/jobs/admission.py
+++ b/hingepitch/jobs/admission.py
@@ -153,13 +153,31 @@
             question.id, caller, account, queue, spec, chain_ms, token_wait_ms
         )
         if self.is_informed(queue):
-            self.measure_if_due(at_ms)
-            code = self.judge(candidate, at_ms) if self.has_room(queue.pool) else None
-            if code and self.session.may_order():
-                self.refuse(question, candidate, code)
+            self.decide(question, candidate, at_ms)
         self.count(candidate, at_ms)
         return candidate
 
+    def decide(self, question, candidate, at_ms):
+        """Measure the work of a new job; refuse the job if it cannot be served."""
+        pool = candidate.queue.pool
+        may_be_refused = self.may_be_refused(candidate)
+        if may_be_refused or not self.has_room(pool):
+            self.measure_if_due(at_ms)
+        if not self.has_room(pool):
+            return
+        self.measure_work(candidate, at_ms)
+        code = self.judge(candidate) if may_be_refused else None
+        if code and self.session.may_order():
+            self.refuse(question, candidate, code)
+
+    def may_be_refused(self, candidate):
+        """Whether any backlog would be a reason to refuse a job.
+
+        For others the backlog is not measured, which takes time that a busy leader
+        lacks; their work is measured by the capacity that was seen last.
+        """
+        return self.session.terms.refuses_late_jobs or candidate.token_wait_ms > 0
+
     def caller_of(self, question):
         """Return the name of the account of a new job; empty without accounts."""
         has_accounts = self.table.has_accounts
@@ -237,14 +255,19 @@
         )
         return Supply(backlog.room, tuple(pair for pair in coming if pair[1]))
 
-    def judge(self, candidate, at_ms):
-        """Return the error code with which a job is refused, or None."""
-        queue, chain_ms = candidate.queue, candidate.chain_ms
+    def measure_work(self, candidate, at_ms):
+        """Set the `WaitingJob` of a candidate."""
+        queue = candidate.queue
         backlog = self.backlog_by_pool[queue.pool]
         expected_ms = self.durations.queue_estimator(queue.route)
-        due_ms = deadline_ms(queue, at_ms, chain_ms)
+        due_ms = deadline_ms(queue, at_ms, candidate.chain_ms)
         rank = Rank(queue.priority, candidate.token_wait_ms > 0, False, due_ms)
         candidate.work = waiting_job(rank, candidate.spec, backlog.load, expected_ms)
+
+    def judge(self, candidate):
+        """Return the error code with which a job is refused, or None."""
+        queue, chain_ms = candidate.queue, candidate.chain_ms
+        rank = candidate.work.rank
         # A job that is wide for its pool takes longer than its critical path.
         own_ms = self.supply_by_pool[queue.pool].drain_ms(candidate.work.core_ms)
         longer_ms = max(0.0, own_ms - chain_ms)
@@ -299,7 +322,9 @@
             decided_wait_ms(candidate.queue, candidate.chain_ms, self.durations),
         )
         self.in_flight[candidate.id, candidate.caller] = pool, work
-        self.backlog_by_pool[pool].add_recent(work)
+        if self.clock() < self.next_measurement:
+            # Otherwise the backlog is measured anew before it is next used.
+            self.backlog_by_pool[pool].add_recent(work)
 
     def note_accepted(self, candidate, at_ms):
         """Note the token, the arrival and the estimated end of a recorded job."""
@@ -312,7 +337,8 @@
         queue, work = candidate.queue, candidate.work
         rate = self.rate_by_class[queue.pool, work.rank.is_excess]
         rate.note(work.core_ms, self.clock())
-        if isfinite(candidate.wait_ms):
+        is_estimated = candidate.wait_ms is not None and isfinite(candidate.wait_ms)
+        if is_estimated:
             end_ms = at_ms + candidate.wait_ms + candidate.chain_ms
             self.session.gauge.note_estimate(candidate.id, end_ms)
 
--- a/hingepitch/jobs/candidate.py
+++ b/hingepitch/jobs/candidate.py
@@ -32,7 +32,7 @@
     `work`
         Its `WaitingJob`.
     `wait_ms`
-        Its estimated wait, once it has been judged.
+        Its estimated wait, once it has been judged; None if nothing would refuse it.
     `has_counted`
         Whether it was counted for its account by this call.
     """
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,11 @@
 from adapter.settings import PlatformSettings
 from adapter.terms import make_dispatch_settings
 from hingepitch.error import HingepitchError
-from hingepitch.jobs import backlog as backlogs, command as commands
+from hingepitch.jobs import (
+    admission as admissions,
+    backlog as backlogs,
+    command as commands,
+)
 from hingepitch.jobs.account import digest_key
 from hingepitch.jobs.estimate import BoundEstimator
 from hingepitch.jobs.gauge import MAX_ESTIMATES
@@ -119,6 +123,23 @@
     assert len(calls) == 2 * backlogs.MAX_MEASURED_ROUNDS
 
 
+# Guards against a measurement of the whole backlog for a job that no backlog would
+# refuse, and against one that is missing when such a job comes after others.
+def test_only_a_job_that_may_be_refused_measures_the_backlog(make_leader, monkeypatch):
+    leader = make_leader(refuses_late_jobs=False)
+    assert leader.code("small") is None
+    leader.fill(FULL)
+    calls = []
+    measure = admissions.measure_backlogs
+    monkeypatch.setattr(
+        admissions, "measure_backlogs", lambda *all_: calls.append(1) or measure(*all_)
+    )
+    assert leader.code("small") is None
+    assert not calls
+    assert [leader.code("heavy") for _ in range(5)][-1] == "over_rate"
+    assert calls
+
+
 # Guards against accounts that are refused while they keep to their rate, and against
 # refusals while the pool has room.
 def test_only_a_job_beyond_the_rate_in_a_full_pool_is_over_its_rate(leader):
