--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -168,6 +168,18 @@
     return LineBuffer(stream, lambda count: log_event("lines_dropped", count=count))
 
 
+def stamp_record(record):
+    """Add the formatted time of a loguru record to its extra values.
+
+    The formatter of loguru interprets the pattern of a time anew for each line, which
+    takes as long as the rest of the line.
+    """
+    time = record["time"]
+    milliseconds = time.microsecond // 1000
+    pattern = f"%Y-%m-%dT%H:%M:%S.{milliseconds:03d}%z"
+    record["extra"]["at"] = time.strftime(pattern)
+
+
 def configure_log(program, level="INFO", write=None):
     """Configure logging for `program`.
 
@@ -178,11 +190,12 @@
         stream would be flushed after each line. Default: standard error.
     """
     logger.remove()
+    logger.configure(patcher=stamp_record)
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
     logger.add(
         write or sys.stderr,
         level=level,
-        format="time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} "
+        format="time={extra[at]} level={level} "
         f"program={quote_value(program)} {{message}}",
         backtrace=False,
         diagnose=False,
