Indices for the runs of a job and for long-running runs

Each end of a job went over all runs, on every replica, and each decision on moves as well, to find the few long-running ones: 1,500 runs, 113 ends and 20 decisions a second at a crest.

Change: two indices, kept where a run is added and dropped.

--- a/hingepitch/jobs/load.py
+++ b/hingepitch/jobs/load.py
@@ -92,10 +92,9 @@
         current_queue = table.current_queue(table.job_by_id[step_key[0]])
         load = load_by_pool.setdefault(current_queue.pool, PoolLoad())
         add_waiting(load, table, current_queue, step_key, now_ms, durations)
-    for run in table.run_by_task.values():
-        job = table.job_by_id.get(run.task.job)
+    for run in table.lasting_runs.values():
         minion = table.minion_by_id.get(run.minion)
-        if job and minion and job.spec.steps[run.task.step].lasts:
+        if minion and run.task.job in table.job_by_id:
             load_by_pool[minion.pool].lasting += run.counted_millicores
     return load_by_pool
 
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -67,6 +67,10 @@
         Open jobs with rounds that have not been opened.
     `minion_by_id`
         The present incarnation of each minion.
+    `runs_by_job`
+        The runs by task, by job.
+    `lasting_runs`
+        The runs of long-running tasks, by task.
     `usage_by_minion`
         The `ResourceUsage` that runs use, by minion.
     `run_counts_by_step`
@@ -102,6 +106,8 @@
         self.life_by_vm = {}
         self.run_by_task = {}
         self.runs_by_minion = {}
+        self.runs_by_job = {}
+        self.lasting_runs = {}
         self.usage_by_minion = {}
         self.run_counts_by_step = {}
         self.wave_by_number = {}
@@ -196,7 +202,7 @@
         self.crashes.forget_job(job.id)
         self.ended_jobs[job.id] = at_ms
         self.changed_minions.update(
-            run.minion for run in self.run_by_task.values() if run.task.job == job.id
+            run.minion for run in self.runs_by_job.get(job.id, {}).values()
         )
 
     def mark_running(self, job):
@@ -235,16 +241,29 @@
         self.ledger.add(run)
         self.changed_minions.add(run.minion)
         self.runs_by_minion.setdefault(run.minion, {})[run.task] = run
+        self.runs_by_job.setdefault(run.task.job, {})[run.task] = run
+        if self.is_lasting(run):
+            self.lasting_runs[run.task] = run
         self.usage_by_minion.setdefault(run.minion, ResourceUsage()).add(run)
         self.run_counts_by_step.setdefault(step, Counter())[run.minion] += 1
 
+    def is_lasting(self, run):
+        """Whether a run is of a long-running task of a job that is kept."""
+        job = self.job_by_id.get(run.task.job)
+        return job is not None and job.spec.steps[run.task.step].lasts
+
     def drop_run(self, run):
         """Remove a run that is confirmed ended."""
         step = run.task[:3]
         del self.run_by_task[run.task]
+        self.lasting_runs.pop(run.task, None)
         self.ledger.remove(run)
         self.changed_minions.add(run.minion)
         del self.runs_by_minion[run.minion][run.task]
+        job_runs = self.runs_by_job[run.task.job]
+        del job_runs[run.task]
+        if not job_runs:
+            del self.runs_by_job[run.task.job]
         self.usage_by_minion[run.minion].add(run, -1)
         counts = self.run_counts_by_step[step]
         counts[run.minion] -= 1
