A busy leader does less work for each run, and the urgent first

Callers saw: at the crest of the kind with the most and shortest tasks, nearly all jobs of that kind late, on a busy machine; other kinds lost nothing.

Cause: the leader has less processor time than the crest takes (1,450 starts and ends a second). Its event loop is late by 10 to 17 ms in the mean, each commit, pass, start and poll waits for several rounds of it, and the work for each run stays the same or grows: a poll and a log entry for each end, a scan of all minions of the pool for each task. So all jobs get late, and the late ones take the time of those that could be in time.

Why it works: work is collected the more the later the leader is, so its cost falls with its lateness, and what it cannot do is the least urgent.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -49,9 +49,12 @@
 #: refusal applies to only one of the two orders.
 SETTLING_KINDS = frozenset((ReplyKind.DONE, ReplyKind.OTHER_LIFE, ReplyKind.FENCED))
 
-#: Statuses of runs that are checked again after `RETRY_SECONDS`.
-UNSETTLED_STATUSES = frozenset(
-    (RunViewStatus.UNSURE, RunViewStatus.STOPPED, RunViewStatus.REFUSED)
+#: Statuses of runs that are checked again after `RETRY_SECONDS`. A tuple, since
+#: hashing an enum member takes longer than comparing it with three others.
+UNSETTLED_STATUSES = (
+    RunViewStatus.UNSURE,
+    RunViewStatus.STOPPED,
+    RunViewStatus.REFUSED,
 )
 
 #: Pause after a stop that got no answer, and interval at which runs whose outcome
@@ -200,6 +203,14 @@
             )
         )
 
+    @property
+    def starts_in_flight(self):
+        """Number of recorded runs whose start has not been answered."""
+        return sum(
+            view.status is RunViewStatus.FRESH or view.status is RunViewStatus.ORDERED
+            for view in self.view_by_task.values()
+        )
+
     def is_lease_expired(self, now):
         """Whether the minion is unresponsive and its lease is confirmed expired."""
         return self.is_unresponsive and now >= self.lease_expired_at
@@ -246,6 +257,8 @@
         for task, view in list(self.view_by_task.items()):
             if recorded.get(task) is not view.run:
                 del self.view_by_task[task]
+        if len(self.view_by_task) == len(recorded):
+            return
         for task, run in recorded.items():
             if task not in self.view_by_task:
                 status = self.session.initial_status(run)
@@ -256,6 +269,8 @@
         settled = (RunViewStatus.INHERITED, RunViewStatus.STOPPED)
         if self.is_succeeded or view.is_ordering or view.status in settled:
             return
+        if view.status is RunViewStatus.RUNNING and self.session.is_wanted(view.run):
+            return
         if (
             view.status is RunViewStatus.UNSURE
             and self.status_poller.polled_at <= view.answered_at
@@ -353,7 +368,7 @@
                     return call.get()
             return Reply(ReplyKind.UNSURE, detail="no reply to the start or its repeat")
         finally:
-            gevent.killall(calls, block=False)
+            gevent.killall([call for call in calls if not call.ready()], block=False)
 
     def repeat_start(self, view, order):
         """Order a start again unless that has become impermissible meanwhile."""
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -90,17 +90,21 @@
                 self.queues.note_started(self.session.table.current_queue(job))
                 self.note_account_wait(job)
 
-    def note_ends(self, ends, cause, at_ms):
+    def note_ends(self, ends, count_by_cause, at_ms):
         """Count ended runs by result and cause; time the jobs that they end.
 
+        `count_by_cause`
+            The number of `ends` by `EndCause`.
         `at_ms`
             When the ends were recorded, in milliseconds since the epoch.
         """
-        for end in ends:
-            self.metrics.count("runs_ended", "Runs by end.", result=end.result.value)
-        self.metrics.count(
-            "end_causes", "Runs by what shows their end.", len(ends), cause=cause.value
-        )
+        results = Counter(end.result for end in ends)
+        for result, count in results.items():
+            self.metrics.count("runs_ended", "Runs by end.", count, result=result.value)
+        for cause, count in count_by_cause.items():
+            self.metrics.count(
+                "end_causes", "Runs by what shows their end.", count, cause=cause.value
+            )
         for job_id in {end.task.job for end in ends}:
             job = self.session.table.job_by_id.get(job_id)
             if job is not None and not job.is_open and job.ended_ms == at_ms:
--- a/hingepitch/jobs/isolation.py
+++ b/hingepitch/jobs/isolation.py
@@ -197,7 +197,7 @@
             return set()
 
         def distance(minion):
-            taken = work.room(minion).cpu_millicores
+            taken = work.usage(minion).cpu_millicores
             return minion.id in self.view.starting, taken, minion.id
 
         nearest = sorted(minions, key=distance)[:count]
--- a/hingepitch/jobs/mover.py
+++ b/hingepitch/jobs/mover.py
@@ -110,7 +110,11 @@
             self.session.attempt("moves", self.step, config, began)
             # Measuring a long backlog is slow and must not starve other work.
             took = lease_seconds() - began
-            self.gather_seconds = max(GATHER_SECONDS, DECISION_PAUSE_FACTOR * took)
+            self.gather_seconds = max(
+                GATHER_SECONDS,
+                DECISION_PAUSE_FACTOR * took,
+                self.session.batch_seconds,
+            )
 
     def step(self, config, now):
         """Continue the moves in progress, then plan and begin new ones."""
--- a/hingepitch/jobs/plan.py
+++ b/hingepitch/jobs/plan.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass, field, replace
 from functools import cached_property
+from math import inf
 
 from hingepitch.jobs.cold import avoids_cold
 from hingepitch.jobs.command import Start
@@ -19,7 +20,7 @@
 from hingepitch.jobs.ledger import AccountUsage
 from hingepitch.jobs.rack import minions_for_one_rack
 from hingepitch.jobs.record import TaskStatus
-from hingepitch.jobs.score import best_minion
+from hingepitch.jobs.score import best_minion, stays_best
 from hingepitch.jobs.spec import TaskKey
 from hingepitch.jobs.spread import count_by_hall
 from hingepitch.jobs.usage import ResourceUsage
@@ -56,6 +57,8 @@
         The warmth of each cold minion: the part of its warm-up that is over.
     `spreads_over_halls`
         Whether the tasks of a long-running step are spread over halls.
+    `max_starts`
+        Number of starts from which on a pass places no further step.
     """
 
     now_ms: int
@@ -70,6 +73,7 @@
     excess_jobs: set[str] = field(default_factory=set)
     warmth_by_minion: dict[str, float] = field(default_factory=dict)
     spreads_over_halls: bool = False
+    max_starts: float = inf
 
 
 @dataclass
@@ -85,6 +89,7 @@
     usage_by_account: dict[str, AccountUsage] = field(default_factory=dict)
     avoids_cold_by_step: dict[tuple, bool] = field(default_factory=dict)
     placed_by_hall: dict[tuple, dict[str, int]] = field(default_factory=dict)
+    started: int = 0
 
     def takes_cold_last(self, step_key):
         """Whether the tasks of a step go to cold minions only after all others."""
@@ -109,15 +114,24 @@
         """Return the usable minions of a pool outside cordoned halls."""
         if not self.minions_by_pool:
             for minion in self.table.minion_by_id.values():
-                usable = minion.id in self.plan_context.usable
+                if minion.id not in self.plan_context.usable:
+                    continue
                 if minion.hall in self.table.cordons:
                     continue
-                if usable and not self.table.is_leaving(minion):
+                if not self.table.is_leaving(minion):
                     self.minions_by_pool.setdefault(minion.pool, []).append(minion)
         return self.minions_by_pool.get(pool, [])
 
-    def room(self, minion):
-        """Return the resources used on a minion, planned starts included."""
+    def usage(self, minion):
+        """Return the resources used on a minion, planned starts included.
+
+        The result must not be changed.
+        """
+        used = self.used_by_minion.get(minion.id)
+        return self.table.usage_by_minion[minion.id] if used is None else used
+
+    def changeable_usage(self, minion):
+        """Return what `usage` does, as an object of this pass."""
         used = self.used_by_minion.get(minion.id)
         if used is None:
             used = replace(self.table.usage_by_minion[minion.id])
@@ -161,7 +175,7 @@
 
     def reserve(self, step_key, step, minion):
         """Reserve resources on `minion` for one more task of `step`."""
-        used = self.room(minion)
+        used = self.changeable_usage(minion)
         used.cpu_millicores += step.counted_millicores
         used.memory_mb += step.memory_mb
         used.accelerators += step.accelerators
@@ -183,7 +197,7 @@
     def release(self, step_key, step, minion):
         """Release the resources that `reserve` took for one task."""
         self.too_large_by_pool.pop(minion.pool, None)
-        used = self.room(minion)
+        used = self.changeable_usage(minion)
         used.cpu_millicores -= step.counted_millicores
         used.memory_mb -= step.memory_mb
         used.accelerators -= step.accelerators
@@ -226,7 +240,10 @@
     gangs = []
     for job, round_number, step_number in order_steps(table, plan_context):
         key = (job.id, round_number, step_number)
+        if work.started >= plan_context.max_starts:
+            break
         placed = list(place_step(work, job, key))
+        work.started += len(placed)
         if job.spec.steps[step_number].gang:
             if placed:
                 gangs.append(tuple(placed))
@@ -294,6 +311,8 @@
     candidates = list(eligible_minions(work, job, key, step))
     if step.same_rack:
         candidates = minions_for_one_rack(work, job, key, candidates, len(indexes))
+    minion = None
+    is_minion_shared = False
     for index in work.isolation.suspects_first(key, indexes):
         if work.is_at_quota(job.account, step):
             return
@@ -301,7 +320,11 @@
         admitted = work.isolation.admitted(work, task, step, candidates)
         is_suspect = bool(work.isolation.suspicion(task))
         avoided = work.table.crashes.crashed_vms(task)
-        minion = best_minion(work, key, step, admitted, is_suspect, avoided)
+        is_ordinary = work.isolation.is_inactive and not avoided
+        is_same = is_ordinary and is_minion_shared
+        if not (is_same and stays_best(work, key, step, minion)):
+            minion = best_minion(work, key, step, admitted, is_suspect, avoided)
+        is_minion_shared = is_ordinary
         if minion is None and is_suspect:
             continue
         if minion is None:
--- a/hingepitch/jobs/poller.py
+++ b/hingepitch/jobs/poller.py
@@ -191,6 +191,9 @@
             self.poll(wait_ms)
         finally:
             self.is_long_polling = False
+        if wait_ms and not self.has_unknown_outcome():
+            # The next poll then lists what ends meanwhile, too.
+            gevent.sleep(self.agent.session.batch_seconds)
 
     def poll(self, wait_ms):
         """Send a poll that waits `wait_ms` at most, and process its result."""
--- a/hingepitch/jobs/rack.py
+++ b/hingepitch/jobs/rack.py
@@ -81,7 +81,7 @@
 
 def free_slots(work, step, minions):
     """Return how many tasks of `step` fit on `minions` now."""
-    return sum(slots_on(step, one, work.room(one)) for one in minions)
+    return sum(slots_on(step, one, work.usage(one)) for one in minions)
 
 
 def potential_slots(work, step, minions):
--- a/hingepitch/jobs/record.py
+++ b/hingepitch/jobs/record.py
@@ -140,7 +140,7 @@
     @property
     def is_open(self):
         """Whether the job may still start tasks."""
-        return self.status not in ENDED_STATUSES
+        return self.status is JobStatus.RUNNING or self.status is JobStatus.PENDING
 
     @property
     def rounds_wanted(self):
--- a/hingepitch/jobs/score.py
+++ b/hingepitch/jobs/score.py
@@ -10,7 +10,7 @@
 
 from hingepitch.jobs.cold import rank_cold
 
-__all__ = ["best_minion"]
+__all__ = ["best_minion", "stays_best"]
 
 
 def best_minion(work, key, step, candidates, is_suspect=False, avoided=()):
@@ -23,7 +23,7 @@
     for minion in candidates:
         if step.max_per_minion and task_counts.get(minion.id, 0) >= step.max_per_minion:
             continue
-        used = work.room(minion)
+        used = work.usage(minion)
         if not used.fits(minion, step):
             continue
         cold_rank = rank_cold(work, minion) if takes_cold_last else 0.0
@@ -36,6 +36,20 @@
     return best
 
 
+def stays_best(work, key, step, minion):
+    """Whether the best minion for a task of a step is the best for the next one, too.
+
+    That holds while it fits, as it is now fuller than before: all other preferences
+    are the same for all tasks of a step, but for the spread over halls. Suspected
+    tasks, and tasks that crashed a minion, are not like the others of their step.
+    """
+    if work.hall_counts(key, step):
+        return False
+    if step.max_per_minion and work.task_counts(key)[minion.id] >= step.max_per_minion:
+        return False
+    return work.usage(minion).fits(minion, step)
+
+
 def score_minion(work, step, minion, used, is_suspect, avoided, cold_rank, hall_count):
     """Return the score of a minion for one more task of `step`; the lowest is best.
 
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -23,7 +23,6 @@
     unobserved_blame,
 )
 from hingepitch.jobs.command import (
-    EndRuns,
     RemoveMinion,
     SuspectLife,
 )
@@ -31,13 +30,13 @@
 from hingepitch.jobs.cordondrain import CordonDrain
 from hingepitch.jobs.crash import NO_BLAME
 from hingepitch.jobs.duration import Durations
+from hingepitch.jobs.endrecorder import EndRecorder
 from hingepitch.jobs.gauge import DispatchGauge
 from hingepitch.jobs.isolation import SuspectWaitTracker
 from hingepitch.jobs.load import measure_pools
 from hingepitch.jobs.loadreport import LoadReporter
 from hingepitch.jobs.mover import MoveController
 from hingepitch.jobs.permission import PermissionController
-from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.restart import RestartBackoff
 from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.spec import format_task
@@ -90,6 +89,8 @@
         The `AdmissionController`, which decides on new jobs.
     `load_reporter`
         The `LoadReporter` of this leadership.
+    `end_recorder`
+        The `EndRecorder` of this leadership.
     `suspect_waits`
         The `SuspectWaitTracker` of the tasks that must start in isolation.
     `inherited`
@@ -120,6 +121,7 @@
         self.planner = StartPlanner(self)
         self.admission = AdmissionController(self)
         self.load_reporter = LoadReporter(self)
+        self.end_recorder = EndRecorder(self)
         self.inherited = {
             (run.task, run.number) for run in self.table.run_by_task.values()
         }
@@ -149,6 +151,11 @@
         """Pause after a status poll that returns at once."""
         return POLL_PAUSE_SECONDS
 
+    @property
+    def batch_seconds(self):
+        """How long work is collected before it is handled together."""
+        return self.load_reporter.loop_delay.batch_seconds
+
     def leads(self):
         """Whether this replica still leads in this session's term, as far as known."""
         core = self.replica.core
@@ -174,7 +181,8 @@
         job = self.table.job_by_id.get(run.task.job)
         if job is None or not job.is_open:
             return False
-        return (run.task, run.number) not in self.watch.evacuated
+        evacuated = self.watch.evacuated
+        return not evacuated or (run.task, run.number) not in evacuated
 
     def start_order(self, run, lease_until_ms):
         """Return the `StartOrder` for `run`, or None if it must not start."""
@@ -233,50 +241,7 @@
 
     def end_runs(self, ends, cause):
         """Record that runs ended, with the `EndCause`; return whether committed."""
-        at_ms = wall_ms()
-        for end in ends:
-            self.note_duration(end, at_ms)
-            self.note_restart(end, at_ms)
-        if not self.propose(EndRuns(ends, at_ms)):
-            return False
-        self.gauge.note_ends(ends, cause, at_ms)
-        for end in ends:
-            log_event(
-                "run_ended",
-                job=end.task.job,
-                task=format_task(end.task),
-                run=end.number,
-                minion=end.minion,
-                result=end.result.value,
-                cause=cause.value,
-            )
-        return True
-
-    def note_restart(self, end, at_ms):
-        """Note that a long-running task ended by itself, for its restart backoff."""
-        run = self.table.run_by_task.get(end.task)
-        step = run and self.step_of(run)
-        if step and step.lasts and end.result in (RunResult.DONE, RunResult.FAILED):
-            ran_seconds = (at_ms - run.started_ms) / 1000
-            self.restarts.note_end(end.task, ran_seconds, lease_seconds())
-
-    def note_duration(self, end, at_ms):
-        """Record the duration of a task that ran from start to end in one run.
-
-        A run that began on a cold minion says nothing about the others of its queue.
-        The task of a gang member is missing if the end of another member closed
-        the round.
-        """
-        run = self.table.run_by_task.get(end.task)
-        step = run and self.step_of(run)
-        task = self.table.task(end.task)
-        if end.result is not RunResult.DONE or step is None or task is None:
-            return
-        if run.number != end.number or task.checkpoint:
-            return
-        if not self.began_cold(run, at_ms):
-            queue = self.table.current_queue(self.table.job_by_id[end.task.job])
-            self.durations.note(queue.route, step, at_ms - run.started_ms)
+        return self.end_recorder.record(ends, cause)
 
     def began_cold(self, run, at_ms):
         """Whether the minion of a run was still cold when the run was recorded."""
@@ -345,6 +310,7 @@
         for loop in (
             self.keep_confirming,
             self.follow_changes,
+            self.end_recorder.run,
             self.load_reporter.run,
             self.load_reporter.loop_delay.run,
         ):
--- a/hingepitch/jobs/startplanner.py
+++ b/hingepitch/jobs/startplanner.py
@@ -8,6 +8,8 @@
 :license: BSD, see LICENSE for details.
 """
 
+from math import inf
+
 from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.jobs.command import OpenRounds, StartRuns
 from hingepitch.jobs.isolation import SuspectView, suspect_view
@@ -21,6 +23,16 @@
 GATHER_SECONDS = 0.002
 
 
+#: Average delay of the event loop from which on starts are limited, in seconds.
+BUSY_DELAY_SECONDS = 0.004
+
+#: Starts that a busy leader has in flight, and how many more it plans in a pass at
+#: least. Without a limit it orders the starts of late jobs in turn with those of
+#: jobs that could be in time, which then get late as well.
+MAX_STARTS_IN_FLIGHT = 96
+MIN_STARTS_IN_PASS = 32
+
+
 class StartPlanner:
     """Plans the starts of one leadership, and keeps what its passes have seen.
 
@@ -60,7 +72,7 @@
     def start_ready_tasks(self):
         """Plan the starts of waiting tasks and record them."""
         began = lease_seconds()
-        starts, gangs = plan_starts(self.table, self.plan_context())
+        starts, gangs = plan_starts(self.table, self.plan_context(self.ready_pools()))
         took = lease_seconds() - began
         self.session.load_reporter.note_pass(took)
         # Planning takes at most half of the time, however much work waits.
@@ -69,21 +81,45 @@
             self.session.propose(StartRuns(starts, gangs, wall_ms()))
             self.session.agents.reconcile()
 
-    def usable_minions(self, now):
-        """Return the incarnations of minions that may take new runs."""
+    def max_starts(self):
+        """Return how many starts the next pass may plan."""
+        if self.session.load_reporter.loop_delay.average < BUSY_DELAY_SECONDS:
+            return inf
+        agents = self.session.agent_by_minion.values()
+        in_flight = sum(agent.starts_in_flight for agent in agents)
+        return max(MIN_STARTS_IN_PASS, MAX_STARTS_IN_FLIGHT - in_flight)
+
+    def ready_pools(self):
+        """Return the names of the pools in which a step is ready."""
+        table = self.table
+        jobs = (table.job_by_id[key[0]] for key in table.ready_steps)
+        return {table.current_queue(job).pool for job in jobs}
+
+    def usable_minions(self, now, pools=None):
+        """Return the incarnations of minions that may take new runs.
+
+        `pools`
+            The names of the pools whose minions are of interest, or None for all.
+        """
         return {
             minion_id
             for minion_id, agent in self.session.agent_by_minion.items()
-            if agent.may_start(now) and agent.minion.hall not in self.table.cordons
+            if (pools is None or agent.minion.pool in pools)
+            and agent.may_start(now)
+            and agent.minion.hall not in self.table.cordons
         } - self.session.upkeep.leaving_incarnations
 
-    def plan_context(self):
-        """Return the planner's input that is not in the job table."""
+    def plan_context(self, pools=None):
+        """Return the planner's input that is not in the job table.
+
+        `pools`
+            As for `usable_minions`.
+        """
         now = lease_seconds()
         self.note_ready(now)
         session = self.session
         agents = session.agent_by_minion
-        usable = self.usable_minions(now)
+        usable = self.usable_minions(now, pools)
         return PlanContext(
             wall_ms(),
             usable,
@@ -101,6 +137,7 @@
                 if agents[life].warmth.is_cold(now)
             },
             spreads_over_halls=session.terms.spreads_over_halls,
+            max_starts=self.max_starts(),
         )
 
     def permitted_by_step(self):
--- a/hingepitch/loopdelay.py
+++ b/hingepitch/loopdelay.py
@@ -20,6 +20,11 @@
 #: Weight of a new measurement in the moving average.
 GAIN = 1 / 8
 
+#: How long work is collected before it is handled together, as a multiple of the
+#: average delay, and at most, in seconds.
+BATCH_DELAY_FACTOR = 8
+MAX_BATCH_SECONDS = 0.1
+
 
 class LoopDelay:
     """How late the timers of the event loop fire, in seconds.
@@ -50,6 +55,15 @@
         self.average += GAIN * (delay - self.average)
         self.largest = max(self.largest, delay)
 
+    @property
+    def batch_seconds(self):
+        """How long work is collected before it is handled together, in seconds.
+
+        A process that lacks processor time thus needs less of it for each piece of
+        work; one that does not waits for next to nothing.
+        """
+        return min(MAX_BATCH_SECONDS, BATCH_DELAY_FACTOR * self.average)
+
     def take_largest(self):
         """Return the largest delay since the last call."""
         largest, self.largest = self.largest, 0.0
