A leader that is not late collects nothing

Change: the first millisecond of delay counts as none, and ends wait only as long as the delay asks for, 5 ms at most as before.

--- a/hingepitch/jobs/endrecorder.py
+++ b/hingepitch/jobs/endrecorder.py
@@ -2,7 +2,7 @@
 hingepitch.jobs.endrecorder
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Records the ends of runs in the log, those of some milliseconds with one command.
+Records the ends of runs in the log, several with one command.
 
 :copyright: Copyright 2026 by the hingepitch maintainers.
 :license: BSD, see LICENSE for details.
@@ -23,9 +23,9 @@
 
 __all__ = ["EndRecorder"]
 
-#: How long ends are collected before they are proposed, in seconds: about the time
-#: of a sync, for which the log would wait anyway.
-GATHER_SECONDS = 0.005
+#: Longest time for which ends are collected before they are proposed, in seconds:
+#: about the time of a sync, for which the log would wait anyway.
+MAX_GATHER_SECONDS = 0.005
 
 
 @dataclass(slots=True)
@@ -63,10 +63,14 @@
         return waiting.is_recorded.get()
 
     def run(self):
-        """Propose the collected ends until killed."""
+        """Propose the collected ends until killed.
+
+        Those of one round of the event loop go together, and more if the leader lacks
+        processor time.
+        """
         while True:
             self.has_pending.wait()
-            gevent.sleep(GATHER_SECONDS)
+            gevent.sleep(min(MAX_GATHER_SECONDS, self.session.batch_seconds))
             self.has_pending.clear()
             batch, self.pending = self.pending, []
             self.session.spawn(self.propose, batch)
--- a/hingepitch/loopdelay.py
+++ b/hingepitch/loopdelay.py
@@ -20,8 +20,12 @@
 #: Weight of a new measurement in the moving average.
 GAIN = 1 / 8
 
+#: Delay up to which a process counts as idle, in seconds: timers fire that late
+#: without other work, too.
+IDLE_DELAY_SECONDS = 0.001
+
 #: How long work is collected before it is handled together, as a multiple of the
-#: average delay, and at most, in seconds.
+#: average delay beyond that of an idle process, and at most, in seconds.
 BATCH_DELAY_FACTOR = 8
 MAX_BATCH_SECONDS = 0.1
 
@@ -60,9 +64,10 @@
         """How long work is collected before it is handled together, in seconds.
 
         A process that lacks processor time thus needs less of it for each piece of
-        work; one that does not waits for next to nothing.
+        work; one that does not waits for nothing.
         """
-        return min(MAX_BATCH_SECONDS, BATCH_DELAY_FACTOR * self.average)
+        late_seconds = max(0.0, self.average - IDLE_DELAY_SECONDS)
+        return min(MAX_BATCH_SECONDS, BATCH_DELAY_FACTOR * late_seconds)
 
     def take_largest(self):
         """Return the largest delay since the last call."""
--- a/tests/leader_simulation.py
+++ b/tests/leader_simulation.py
@@ -12,7 +12,7 @@
 
 from hingepitch.jobs import command as commands
 from hingepitch.jobs.command import RunEnd
-from hingepitch.jobs.endrecorder import GATHER_SECONDS
+from hingepitch.jobs.endrecorder import MAX_GATHER_SECONDS
 from hingepitch.jobs.plan import PlanContext, plan_starts
 from hingepitch.jobs.usage import ResourceUsage
 from hingepitch.loopdelay import LoopDelay
@@ -164,7 +164,8 @@
         ends = [end for group in self.unrecorded for end in group]
         if not ends:
             return
-        is_gathered = self.is_batching and GATHER_SECONDS >= STEP_SECONDS
+        gather_seconds = min(MAX_GATHER_SECONDS, self.delay.batch_seconds)
+        is_gathered = self.is_batching and gather_seconds >= STEP_SECONDS
         entries = 1 if is_gathered else len(self.unrecorded)
         self.spend("ends", entries * self.costs.entry)
         self.log.send(commands.EndRuns(tuple(ends), self.now_ms))
--- a/tests/test_load_busy_leader.py
+++ b/tests/test_load_busy_leader.py
@@ -131,6 +131,7 @@
 def test_ends_of_many_minions_are_recorded_together(make_harness, monkeypatch):
     minions = [MemoryMinion(task_seconds=0.3) for _ in range(12)]
     harness = make_harness(*minions)
+    set_delay(harness, BUSY_DELAY_SECONDS, monkeypatch)
     sent = Counter()
     propose = harness.replica.propose
 
