--- a/tests/test_load_busy_leader.py
+++ b/tests/test_load_busy_leader.py
@@ -37,6 +37,9 @@
 CALM_FLOOR = 0.48
 DISRUPTED_FLOOR = 0.29
 
+#: A slowness at which a crest takes more than the leader can do.
+OVERLOAD_SLOWNESS = 2.5
+
 SEEDS = (1, 2, 3)
 
 DISRUPTIONS = {
@@ -48,8 +51,8 @@
 BUSY_DELAY_SECONDS = 0.02
 
 
-def simulate(seed, disruption=None, **options):
-    costs = Costs().times(SLOWNESS)
+def simulate(seed, disruption=None, slowness=SLOWNESS, **options):
+    costs = Costs().times(slowness)
     simulation = LeaderSimulation(seed, costs=costs, **options)
     simulation.run(PEAK_PER_SECOND, disruption=disruption)
     assert len(simulation.jobs) > 400
@@ -65,6 +68,13 @@
     assert simulate(seed, is_batching=False) < DISRUPTED_FLOOR
 
 
+# Guards against a leader that begins what is late as soon as what could be in time, so
+# that with too little processor time for a crest it serves next to nothing of it.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_overloaded_leader_serves_what_it_can(seed):
+    assert simulate(seed, slowness=OVERLOAD_SLOWNESS) >= DISRUPTED_FLOOR
+
+
 # Guards against a crest that is lost as a whole once something goes wrong within it.
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("name", DISRUPTIONS)
