--- a/review/standins.py
+++ b/review/standins.py
@@ -608,7 +608,7 @@
             "zones": {f"amman-{one}": "amman" for one in "abcd"},
             "listen": listen,
             "port_range": [self.ports[2], self.ports[2]],
-            "seeds": self.control_addresses[:3],
+            "seeds": self.seeds(ip, bootstrap),
             "bootstrap": bootstrap,
             "fault_counted": is_control,
             "limits": {"cores": 2, "memory_mb": 300, "max_fds": 4100, "disk_mb": 128},
@@ -633,6 +633,16 @@
         path.write_text(json.dumps(settings))  # JSON is YAML, too.
         return path
 
+    def seeds(self, ip, bootstrap):
+        """Return the addresses of three machines that serve `control`, as listed.
+
+        The first start has the same three for all; later those that run are listed.
+        """
+        ips = self.control_ips
+        if not bootstrap:
+            ips = [one for one in ips if one != ip and one in self.process_by_ip]
+        return [f"{one}:{self.ports[0]}" for one in ips[:3]]
+
     def start_process(self, ip, bootstrap=False):
         """Start the process of a machine with the command of the deploy file."""
         path = self.write_settings(ip, bootstrap)
