--- /dev/null
+++ b/review/second/__init__.py
@@ -0,0 +1,6 @@
+"""
+review.second
+~~~~~~~~~~~~~
+
+Stand-ins and a small deployment for the scripts of the second review.
+"""
