--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -133,8 +133,9 @@
 
     def spawn(self, function, *arguments):
         """Run a function in a greenlet that ends with this agent."""
-        self.greenlets = {one for one in self.greenlets if not one.dead}
-        self.greenlets.add(self.session.spawn(function, *arguments))
+        greenlet = self.session.spawn(function, *arguments)
+        self.greenlets.add(greenlet)
+        greenlet.link(self.greenlets.discard)
 
     def stop(self):
         """Kill the greenlets and close the connections."""
