A run missing from a short list of ends is not taken for lost

Cause: a minion lists 500 ends in one reply. StatusPoller.end_missing took a recorded run that such a reply lists neither as running nor as ended for gone: it was stopped, and ended as LOST by the next reply without it, while its end `done` waited behind the listed ones. The same conclusion was drawn from a reply with rows of ends that could not be decoded, and such a row was forgotten by the minion as soon as a later end was acknowledged.

Ruled out: an expired lease (none expires in the case), ends that are acknowledged before they are recorded (ends_recorded moves only after the commit).

Change: a PollResult says what it proves about an unlisted run (RunEvidence). Only ABSENT, complete lists of runs and of ends, changes the status of a missing run. Unreadable ends hold back the acknowledgement and the conclusion for 5 s at most. Full lists are read without a pause.

--- a/hingepitch/jobs/contact.py
+++ b/hingepitch/jobs/contact.py
@@ -23,6 +23,7 @@
     "PaceOrder",
     "Reply",
     "ReplyKind",
+    "RunEvidence",
     "RunningRow",
     "StartOrder",
     "StopOrder",
@@ -172,16 +173,35 @@
     checkpoint: str
 
 
+class RunEvidence(enum.Enum):
+    """What the reply to a status poll proves about one run.
+
+    `RUNNING`: the run is in progress. `ENDED`: its end is listed. `OVER`: the run is
+    not in progress, but it may have an end that is not in the reply. `ABSENT`: the
+    run is not in progress and has no end that is yet to be acknowledged, so the
+    minion never began it, or it is fenced off by a stop. `NOTHING`: the run may be
+    in progress.
+    """
+
+    RUNNING = "running"
+    ENDED = "ended"
+    OVER = "over"
+    ABSENT = "absent"
+    NOTHING = "nothing"
+
+
 @dataclass(frozen=True, slots=True)
 class PollResult:
     """Result of a `PollOrder`; the lists are empty unless the reply is `DONE`.
 
     `unread_running`, `unread_ended`
-        Number of rows that could not be decoded. While `unread_running` is not
-        0, a run that is not listed may still be in progress.
+        Number of rows that could not be decoded. Each may be that of any run.
     `born_ms`
         When the incarnation that replied began, in milliseconds since the epoch;
         0 if it does not tell.
+    `may_have_more_ends`
+        Whether the minion may have further ends that it lists only once it has been
+        told that the listed ones are recorded.
     """
 
     reply: Reply
@@ -190,3 +210,31 @@
     unread_running: int = 0
     unread_ended: int = 0
     born_ms: int = 0
+    may_have_more_ends: bool = False
+
+    @property
+    def has_all_running(self):
+        """Whether a run that is not listed as running is not in progress."""
+        return self.reply.kind is ReplyKind.DONE and not self.unread_running
+
+    @property
+    def has_all_ended(self):
+        """Whether all ends that are yet to be acknowledged are listed."""
+        return (
+            self.reply.kind is ReplyKind.DONE
+            and not self.unread_ended
+            and not self.may_have_more_ends
+        )
+
+    @property
+    def unlisted_evidence(self):
+        """The `RunEvidence` about the runs that are in neither list."""
+        if not self.has_all_running:
+            return RunEvidence.NOTHING
+        return RunEvidence.ABSENT if self.has_all_ended else RunEvidence.OVER
+
+    def evidence_by_run(self):
+        """Return the `RunEvidence` about the listed runs, by task and run number."""
+        ended = {(one.task, one.number): RunEvidence.ENDED for one in self.ended}
+        running = {(one.task, one.number): RunEvidence.RUNNING for one in self.running}
+        return ended | running
--- a/hingepitch/jobs/poller.py
+++ b/hingepitch/jobs/poller.py
@@ -9,6 +9,8 @@
 :license: BSD, see LICENSE for details.
 """
 
+from dataclasses import replace
+
 import gevent
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
@@ -16,7 +18,13 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.jobs.cause import EndCause
 from hingepitch.jobs.command import RunEnd
-from hingepitch.jobs.contact import PollOrder, PollResult, Reply, ReplyKind
+from hingepitch.jobs.contact import (
+    PollOrder,
+    PollResult,
+    Reply,
+    ReplyKind,
+    RunEvidence,
+)
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.runview import UNLISTED_STATUSES, RunViewStatus
 from hingepitch.log import log_event
@@ -44,6 +52,11 @@
 #: where no result is pending, in seconds.
 IDLE_RETRY_SECONDS = 2.0
 
+#: How long ends that cannot be decoded hold back the acknowledgement of the others, in
+#: seconds. An end that was garbled on its way is readable in a later reply; one that
+#: stays unreadable must not keep the minion from listing further ends.
+UNREAD_ENDS_SECONDS = 5.0
+
 #: Pause while the leadership is not confirmed and no orders may be given, in
 #: seconds; it keeps waiting orders from busy-looping.
 UNCONFIRMED_SECONDS = 0.05
@@ -77,6 +90,9 @@
         Whether polls for runs of unknown outcome are sent beside the long poll.
     `was_refused`
         Whether the last poll was answered without a list of runs.
+    `unread_since`
+        Since when the replies have had ends that could not be decoded; 0 if the last
+        one had none.
     """
 
     def __init__(self, agent):
@@ -90,6 +106,7 @@
         self.is_long_polling = False
         self.is_settling = False
         self.was_refused = False
+        self.unread_since = 0.0
 
     def run(self):
         """Poll the minion while `is_needed`, until the agent is gone."""
@@ -232,7 +249,8 @@
         self.process_result(result, sent_at, acknowledged)
         self.agent.renewals.note_answered(renewal)
         self.agent.wake.set()
-        if wait_ms == 0:
+        is_immediate = wait_ms == 0 or result.unread_ended
+        if is_immediate and not result.may_have_more_ends:
             gevent.sleep(self.agent.session.poll_pause_seconds)
 
     def ends_to_acknowledge(self):
@@ -260,10 +278,11 @@
             if is_news:
                 self.polled_at = sent_at
                 self.update_running(result.running, sent_at)
-            self.record_ends(result.ended)
             self.agent.session.gauge.note_unread(result)
-            if is_news and not result.unread_running:
-                self.end_missing(result.running, sent_at)
+            result = self.give_up_unread_ends(result)
+            self.record_ends(result.ended, may_acknowledge=not result.unread_ended)
+            if is_news:
+                self.end_missing(result, sent_at)
 
     def update_running(self, rows, now):
         """Update the views from the runs that a poll lists; log unrecorded runs."""
@@ -283,8 +302,33 @@
                 view.answered_at = now
         self.agent.session.watch.note_rows(self.agent)
 
-    def record_ends(self, ended):
-        """Record the ends that a poll lists, then advance `ends_recorded`."""
+    def give_up_unread_ends(self, result):
+        """Return a result without its unreadable ends if these last for too long.
+
+        Until then they hold back the acknowledgement of the other ends, with which
+        the minion would forget them, and what is concluded from a missing run.
+        """
+        now = lease_seconds()
+        if not result.unread_ended:
+            self.unread_since = 0.0
+            return result
+        self.unread_since = self.unread_since or now
+        if now - self.unread_since < UNREAD_ENDS_SECONDS:
+            return result
+        log_event(
+            "unread_ends_given_up",
+            minion=self.agent.minion.id,
+            ends=result.unread_ended,
+        )
+        return replace(result, unread_ended=0)
+
+    def record_ends(self, ended, may_acknowledge):
+        """Record the ends that a poll lists, then advance `ends_recorded`.
+
+        `may_acknowledge`
+            Whether to advance it: whether the minion may be told that all ends up to
+            the last one are recorded.
+        """
         if not ended:
             return
         ends = tuple(
@@ -298,7 +342,8 @@
         self.mark_ended(known)
         self.agent.session.watch.note_ends(self.agent, known)
         self.log_lease_expiry(known)
-        if not known or self.agent.session.end_runs(known, EndCause.LISTED):
+        is_recorded = not known or self.agent.session.end_runs(known, EndCause.LISTED)
+        if is_recorded and may_acknowledge:
             self.ends_recorded = max(
                 self.ends_recorded, *(one.sequence for one in ended)
             )
@@ -326,15 +371,19 @@
         run = self.agent.session.runs_of(self.agent.minion.id).get(end.task)
         return run is not None and run.number == end.number
 
-    def end_missing(self, rows, sent_at):
-        """Update the status of recorded runs that a poll does not list.
+    def end_missing(self, result, sent_at):
+        """Update the status of recorded runs that the minion no longer has.
 
-        A missing run that was stopped has ended; the outcome of one that was
-        inherited or running becomes unknown.
+        A run that was stopped has then ended; the outcome of one that was inherited
+        or running becomes unknown. Both need proof that the minion has no end of the
+        run either: an end `done` may wait behind the listed ones, and the task must
+        not be started again.
         """
-        listed = {(row.task, row.number) for row in rows}
+        if result.unlisted_evidence is not RunEvidence.ABSENT:
+            return
+        evidence_by_run = result.evidence_by_run()
         for view in list(self.agent.view_by_task.values()):
-            if (view.run.task, view.run.number) in listed:
+            if (view.run.task, view.run.number) in evidence_by_run:
                 continue
             if not self.is_recorded(view.run):
                 continue
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -88,6 +88,7 @@
     "successor_answers": "INFO",
     "leave_ignored": "INFO",
     "rows_unread": "WARNING",
+    "unread_ends_given_up": "WARNING",
     "run_lease_lapsed": "WARNING",
     "run_ordered": "INFO",
     "advice_taken": "INFO",
--- a/tests/lossy_minion.py
+++ b/tests/lossy_minion.py
@@ -12,6 +12,7 @@
 import msgspec
 from gevent.event import AsyncResult, Event
 
+from adapter import minion as adapter_minion
 from adapter.minion import HttpMinion
 from adapter.wire import decode_heartbeat
 from hingepitch.clock import lease_seconds
@@ -45,11 +46,18 @@
 
     `fault_rate`
         Probability that a call is delayed or lost, or its reply is.
+    `garble_rate`
+        Probability that a row of a reply is garbled.
     """
 
     def __init__(self, seed, fault_rate):
         self.random = random.Random(seed)
         self.fault_rate = fault_rate
+        self.garble_rate = 0.0
+
+    def garble(self, row):
+        """Return a row of a reply, or in its place one that cannot be decoded."""
+        return None if self.garble_rate and self.happens(self.garble_rate) else row
 
     def draw_delays(self):
         """Return the delays of a call and of its reply in seconds; None: lost."""
@@ -183,8 +191,9 @@
         ]
         finished = [
             [one.sequence, format_task(one.task), one.number, one.result.value, ""]
-            for one in self.ended
+            for one in self.ended[: adapter_minion.MAX_LISTED_ENDS]
         ]
+        finished = [self.simulation.network.garble(row) for row in finished]
         body = {
             "clock_ms": self.clock_ms(),
             "born": self.born_ms,
