A call from before its cancellation brings no job about

What callers saw: a client hands in a job at an entry that stands still, gets no answer, cancels the job at another entry and is told 410.

Cause: the 410 of a cancellation of an unknown job changed nothing in the state, so nothing told a delayed call from a new one.

Ruled out: a look at the caller's connection (a process may stop after it, and a caller may keep its connection open), a time stamp of the entry (it dates the call from when it was read), the caller's Deadline-Ms (it names no beginning).

Change: a cancellation of an unknown job is recorded (CancelUnknownJob) and leaves a tombstone for calls to the same URL by the same account.

A test of the adapter demanded that a job is accepted right after its cancelling was answered 410. That is what the fault needs, so it is replaced by one that demands both: the call from before is refused, and one of an entry that knows of the cancelling is accepted.

--- a/hingepitch/error.py
+++ b/hingepitch/error.py
@@ -41,6 +41,8 @@
     "unknown_queue": ErrorKind(404, "There is no such queue"),
     "unknown_hall": ErrorKind(404, "There is no such hall"),
     "unknown_job": ErrorKind(410, "There is no such job"),
+    "job_cancelled": ErrorKind(410, "The job was cancelled before it was accepted"),
+    "stale_call": ErrorKind(503, "The call has been under way for too long"),
     "over_quota": ErrorKind(422, "The quota of the account is too small for the job"),
     "job_id_taken": ErrorKind(409, "Another account has a job with this id"),
     "too_many_jobs": ErrorKind(429, "Too many jobs are open"),
--- a/hingepitch/jobs/client.py
+++ b/hingepitch/jobs/client.py
@@ -26,7 +26,12 @@
     encode,
 )
 
-__all__ = ["LEADER_WAIT_SECONDS", "RETRY_TIMEOUT_SECONDS", "JobClient"]
+__all__ = [
+    "LEADER_WAIT_SECONDS",
+    "RETRY_TIMEOUT_SECONDS",
+    "JobClient",
+    "is_unread",
+]
 
 #: How long a request for a caller is retried once it may have been applied, in seconds,
 #: if its caller does not say how long it waits: callers wait 3 s, and the last attempt
--- a/hingepitch/jobs/command.py
+++ b/hingepitch/jobs/command.py
@@ -17,10 +17,12 @@
 
 __all__ = [
     "AcceptJob",
+    "AgeTombstones",
     "BeginIncarnation",
     "BeginMove",
     "BeginUpkeep",
     "CancelJob",
+    "CancelUnknownJob",
     "CordonHall",
     "EndMove",
     "EndRuns",
@@ -78,6 +80,9 @@
 
     `key`
         Digest of the key that the call bears; None from versions without keys.
+    `known_index`
+        Log index that the entry knew before the call arrived; None from versions that
+        do not tell.
     """
 
     id: str
@@ -86,6 +91,7 @@
     spec: JobSpec
     at_ms: int
     key: bytes | None = field(default=None, repr=False)
+    known_index: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +109,27 @@
     key: bytes | None = field(default=None, repr=False)
 
 
+@dataclass(frozen=True, slots=True)
+class CancelUnknownJob:
+    """Like `CancelJob`, for a job that is not known.
+
+    It leaves a tombstone, so that the job is not accepted by a call from before its
+    cancellation. Versions without tombstones cannot read this command, and so cannot
+    lead a group that uses it.
+    """
+
+    id: str
+    at_ms: int
+    host: str
+    path: str
+    key: bytes | None = field(default=None, repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class AgeTombstones:
+    """Begin the next generation of tombstones; the oldest are dropped."""
+
+
 @dataclass(frozen=True, slots=True)
 class OpenRounds:
     """Open the next round of each of the repeated jobs."""
@@ -292,6 +319,8 @@
     PutAccountQueues,
     AcceptJob,
     CancelJob,
+    CancelUnknownJob,
+    AgeTombstones,
     OpenRounds,
     StartRuns,
     EndRuns,
--- a/hingepitch/jobs/content.py
+++ b/hingepitch/jobs/content.py
@@ -16,6 +16,7 @@
 from hingepitch.jobs.queue import QueueConfig
 from hingepitch.jobs.record import JobRecord, JobStatus, Minion, Run, Wave
 from hingepitch.jobs.table import JobTable
+from hingepitch.jobs.tombstone import Tombstone, TombstoneRegistry
 
 __all__ = ["TableContent", "content_of", "restore_table"]
 
@@ -42,6 +43,9 @@
     cordons: list[HallCordon] = []
     cordon_revision: int = 0
     has_beginnings: bool = False
+    tombstones: list[tuple[bytes, Tombstone]] = []
+    tombstone_generation: int = 0
+    dropped_tombstone_index: int = 0
 
 
 def content_of(table):
@@ -64,6 +68,9 @@
         cordons=list(table.cordons.cordon_by_hall.values()),
         cordon_revision=table.cordons.revision,
         has_beginnings=True,
+        tombstones=list(table.tombstones.tombstone_by_call.items()),
+        tombstone_generation=table.tombstones.generation,
+        dropped_tombstone_index=table.tombstones.dropped_index,
     )
 
 
@@ -83,6 +90,11 @@
     table.put_config(content.config)
     table.ledger.departed_quotas = content.departed_quotas
     table.cordons = HallCordons(content.cordons, content.cordon_revision)
+    table.tombstones = TombstoneRegistry(
+        dict(content.tombstones),
+        content.tombstone_generation,
+        content.dropped_tombstone_index,
+    )
     for minion in content.minions:
         table.store_minion(minion, 0)
     births = content.births_of_ended
--- a/hingepitch/jobs/question.py
+++ b/hingepitch/jobs/question.py
@@ -22,6 +22,7 @@
     "AskHalls",
     "AskJob",
     "AskKeys",
+    "AskLogIndex",
     "AskMembers",
     "AskPending",
     "AskWave",
@@ -57,6 +58,9 @@
         Whether the sender knows the error codes of admission control. Earlier versions
         would answer them with 500, from which no caller can tell that the job never
         runs.
+    `known_index`
+        Log index that the entry knew before the call arrived. None from versions that
+        do not tell, which do not know the codes of calls that are refused by it.
     """
 
     id: str
@@ -65,6 +69,7 @@
     spec: JobSpec
     key: bytes | None = None
     knows_admission_errors: bool = False
+    known_index: int | None = None
 
 
 class AskJob(Question, frozen=True):
@@ -201,6 +206,10 @@
     hall: str
 
 
+class AskLogIndex(Question, frozen=True):
+    """Get the index of the last applied log entry from any replica; response: int."""
+
+
 class AskMembers(Question, frozen=True):
     """Get the replicas of the group from any replica; response: list of `MemberRow`."""
 
@@ -257,6 +266,7 @@
     | NoteLeaving
     | JoinGroup
     | AskMembers
+    | AskLogIndex
 )
 
 #: Start of the detail by which every version says that it cannot decode a request.
--- a/hingepitch/jobs/rule.py
+++ b/hingepitch/jobs/rule.py
@@ -27,6 +27,7 @@
     is_same_birth,
 )
 from hingepitch.jobs.spec import check_spec
+from hingepitch.jobs.tombstone import digest_call
 from hingepitch.model.rule import Refusal, apply_command
 
 __all__ = ["start_rejection"]
@@ -68,6 +69,7 @@
         if not has_access(table, known, caller):
             raise Refusal("job_id_taken", command.id)
         return
+    check_tombstones(table, command)
     queue = table.queues.find(command.host, command.path)
     if queue is None:
         raise Refusal("unknown_queue", f"{command.host}{command.path}")
@@ -83,6 +85,15 @@
     )
 
 
+def check_tombstones(table, command):
+    """Refuse a call that was made, or may have been, before its job was cancelled."""
+    call = digest_call(table, command)
+    if table.tombstones.refuses(call, command.known_index):
+        raise Refusal("job_cancelled", command.id)
+    if table.tombstones.is_too_old(command.known_index):
+        raise Refusal("stale_call", command.id)
+
+
 def check_gangs(quota, spec):
     """Refuse a job with a gang that can never run within the quota of its account."""
     for number, step in enumerate(spec.steps):
@@ -90,15 +101,41 @@
             raise Refusal("over_quota", f"step {number}: {step.count} tasks at once")
 
 
-@apply_command.register
-def _(command: commands.CancelJob, state, envelope, index):
-    table = state.jobs
+def find_job(table, command):
+    """Return the job that a call names, or None if there is none for its caller."""
     job = table.job_by_id.get(command.id)
     caller = caller_of(table, command, job)
     if job is None or not has_access(table, job, caller):
+        return None
+    return job
+
+
+@apply_command.register
+def _(command: commands.CancelJob, state, envelope, index):
+    job = find_job(state.jobs, command)
+    if job is None:
         raise Refusal("unknown_job", command.id)
+    cancel(state.jobs, job, command.at_ms)
+
+
+def cancel(table, job, at_ms):
+    """Cancel a job unless it has ended."""
     if job.is_open:
-        table.end_job(job, JobStatus.CANCELLED, command.at_ms)
+        table.end_job(job, JobStatus.CANCELLED, at_ms)
+
+
+@apply_command.register
+def _(command: commands.CancelUnknownJob, state, envelope, index):
+    job = find_job(state.jobs, command)
+    if job is None:
+        state.jobs.tombstones.add(digest_call(state.jobs, command), index)
+    else:
+        cancel(state.jobs, job, command.at_ms)
+
+
+@apply_command.register
+def _(command: commands.AgeTombstones, state, envelope, index):
+    state.jobs.tombstones.begin_generation()
 
 
 @apply_command.register
--- a/hingepitch/jobs/service.py
+++ b/hingepitch/jobs/service.py
@@ -26,6 +26,7 @@
 from hingepitch.jobs.command import (
     AcceptJob,
     CancelJob,
+    CancelUnknownJob,
     PutAccountQueues,
     PutQueues,
     PutWave,
@@ -166,6 +167,7 @@
             question.spec,
             at_ms,
             question.key,
+            question.known_index,
         )
         with self.admitting(question, at_ms):
             self.propose_job(command)
@@ -197,6 +199,9 @@
             is_settled = True
         except HingepitchError as error:
             is_settled = error.code not in UNKNOWN_OUTCOME_CODES
+            if error.code == "job_cancelled" and command.known_index is None:
+                # The entry is of a version that does not know the code.
+                raise HingepitchError("unknown_job", command.id) from None
             raise
         finally:
             if not is_settled:
@@ -222,12 +227,38 @@
 
     @answer.register
     def _(self, question: questions.AskCancel):
-        self.require_known_key(question, self.table.job_by_id.get(question.id))
+        job = self.table.job_by_id.get(question.id)
+        self.require_known_key(question, job)
+        if job is None or not self.cancel_known(question):
+            self.cancel_unknown(question)
+        log_event("job_cancelled", job=question.id)
+
+    def cancel_known(self, question):
+        """Cancel a job; return False if it is not known to the caller any more."""
         command = CancelJob(
             question.id, wall_ms(), question.host, question.path, question.key
         )
+        try:
+            self.propose(Role.ENTRY, command)
+        except HingepitchError as error:
+            if error.code != "unknown_job":
+                raise
+            return False
+        return True
+
+    def cancel_unknown(self, question):
+        """Cancel a job that is not known; raise `unknown_job` if that is still so.
+
+        No call from before the answer brings the job about then.
+        """
+        command = CancelUnknownJob(
+            question.id, wall_ms(), question.host, question.path, question.key
+        )
         self.propose(Role.ENTRY, command)
-        log_event("job_cancelled", job=question.id)
+        job = self.table.job_by_id.get(question.id)
+        caller = caller_of(self.table, question, job)
+        if job is None or not has_access(self.table, job, caller):
+            raise HingepitchError("unknown_job", question.id)
 
     def require_known_key(self, question, job):
         """Refuse a call with an unknown key, without a log entry for each."""
@@ -347,3 +378,7 @@
     @answer.register
     def _(self, question: questions.AskMembers):
         return self.members.rows()
+
+    @answer.register
+    def _(self, question: questions.AskLogIndex):
+        return self.replica.applied_index
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -42,6 +42,7 @@
 from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.spec import format_task
 from hingepitch.jobs.startplanner import StartPlanner
+from hingepitch.jobs.tombstone import TombstoneAger
 from hingepitch.jobs.upkeep import UpkeepController
 from hingepitch.jobs.watch import RunWatch
 from hingepitch.log import log_event, source_location
@@ -316,6 +317,7 @@
             self.follow_changes,
             self.end_recorder.run,
             self.beginnings.run,
+            TombstoneAger(self).run,
             self.load_reporter.run,
             self.load_reporter.loop_delay.run,
         ):
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -28,6 +28,7 @@
     UpkeepStage,
 )
 from hingepitch.jobs.spec import format_task
+from hingepitch.jobs.tombstone import TombstoneRegistry
 from hingepitch.jobs.usage import ResourceUsage
 
 __all__ = ["JobTable", "StepKey", "lost_run_end"]
@@ -93,6 +94,8 @@
         The `CrashRegistry`.
     `cordons`
         The `HallCordons`: halls in which no run may start.
+    `tombstones`
+        The `TombstoneRegistry`: jobs that were cancelled while they were not known.
     `has_seen_batch_job`
         Whether a job with tasks that are not long-running was ever accepted.
     """
@@ -122,6 +125,7 @@
         self.arrived_jobs = deque(maxlen=MAX_ARRIVED_JOBS)
         self.crashes = CrashRegistry()
         self.cordons = HallCordons()
+        self.tombstones = TombstoneRegistry()
         self.has_seen_batch_job = False
 
     def put_config(self, config):
--- a/hingepitch/log.py
+++ b/hingepitch/log.py
@@ -68,6 +68,7 @@
     "job_accepted": "INFO",
     "job_refused": "INFO",
     "job_cancelled": "INFO",
+    "log_index_unknown": "WARNING",
     "queues_put": "INFO",
     "wave_put": "INFO",
     "connection_check_failed": "WARNING",
--- a/hingepitch/model/apply.py
+++ b/hingepitch/model/apply.py
@@ -177,8 +177,10 @@
         commands.CancelJobs,
         job_commands.AcceptJob,
         job_commands.CancelJob,
+        job_commands.CancelUnknownJob,
     },
     Role.DISPATCHER: {
+        job_commands.AgeTombstones,
         job_commands.OpenRounds,
         job_commands.StartRuns,
         job_commands.EndRuns,
--- a/hingepitch/model/state.py
+++ b/hingepitch/model/state.py
@@ -38,7 +38,8 @@
 FEATURE_KIND = "feature"
 ACCOUNTS_FEATURE = "client-accounts"
 CORDONS_FEATURE = "hall-cordons"
-KNOWN_FEATURES = frozenset((ACCOUNTS_FEATURE, CORDONS_FEATURE))
+TOMBSTONES_FEATURE = "tombstones"
+KNOWN_FEATURES = frozenset((ACCOUNTS_FEATURE, CORDONS_FEATURE, TOMBSTONES_FEATURE))
 
 #: Errors that reading a snapshot of another version raises: its parts may be
 #: missing, have other types, or not fit each other.
@@ -232,6 +233,8 @@
             yield ACCOUNTS_FEATURE
         if self.jobs.cordons.revision:
             yield CORDONS_FEATURE
+        if self.jobs.tombstones.is_used:
+            yield TOMBSTONES_FEATURE
 
     def to_snapshot(self):
         """Return the state encoded as msgpack."""
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -23,6 +23,7 @@
 from standin.account_faults import ACCOUNT_FAULTS
 from standin.cordon_faults import CORDON_FAULTS
 from standin.crash_faults import CRASH_FAULTS
+from standin.delay_faults import DELAY_FAULTS
 from standin.fault import Fault
 from standin.hall_faults import HALL_FAULTS
 from standin.incarnation_faults import INCARNATION_FAULTS
@@ -67,6 +68,7 @@
     *ACCOUNT_FAULTS,
     *HALL_FAULTS,
     *CORDON_FAULTS,
+    *DELAY_FAULTS,
     *REPLACEMENT_FAULTS,
     Fault(
         "budget",
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -45,6 +45,10 @@
     def state(self):
         return self.log.state
 
+    @property
+    def applied_index(self):
+        return self.log.index
+
     def propose(self, envelope):
         if not self.is_leader:
             raise HingepitchError("not_leader")
--- a/tests/test_job_rules.py
+++ b/tests/test_job_rules.py
@@ -22,6 +22,7 @@
     commands.UncordonHall: Role.OPERATOR,
     commands.AcceptJob: Role.ENTRY,
     commands.CancelJob: Role.ENTRY,
+    commands.CancelUnknownJob: Role.ENTRY,
 }
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,8 +10,10 @@
 from adapter.settings import read_settings
 from adapter.wire import decode_heartbeat, decode_job, parse_ended
 from hingepitch.error import HingepitchError
-from hingepitch.jobs import command as commands
+from hingepitch.jobs import command as commands, knownindex
 from hingepitch.jobs.client import JobClient
+from hingepitch.jobs.knownindex import KnownIndex
+from hingepitch.jobs.question import decode_request, encode
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.roster import MinionRoster
 from hingepitch.jobs.service import JobService
@@ -171,6 +173,20 @@
     assert (end.result, end.checkpoint) == (RunResult.LAPSED, "half")
 
 
+class LocalGroup:
+    """Group client whose only replica answers in the same process.
+
+    `service`
+        The `JobService` of the replica.
+    """
+
+    def __init__(self, service):
+        self.service = service
+
+    def call_once(self, method, data):
+        return encode(self.service.answer(decode_request(data)))
+
+
 class ApiHarness:
     """Entry and control APIs over a group of one replica."""
 
@@ -180,7 +196,9 @@
         self.service = JobService(self.replica, MinionRoster(), None, "test")
         client = JobClient(None, self.replica, self.service)
         self.metrics = Metrics("test")
-        self.front_api = FrontApi(client, self.metrics)
+        self.known_index = KnownIndex(LocalGroup(self.service))
+        self.known_index.refresh()
+        self.front_api = FrontApi(client, self.metrics, self.known_index)
         self.front = falcon.testing.TestClient(self.front_api.make())
         control = ControlApi(client, lambda: "10.0.0.1:80", has_accounts).make()
         self.control = falcon.testing.TestClient(control)
@@ -216,13 +234,26 @@
 
 def test_job_is_submitted_queried_and_cancelled(system):
     assert system.call("GET", f"/q/{JOB}").status_code == 410
-    assert system.call("DELETE", f"/q/{JOB}").status_code == 410
     assert system.call("POST", f"/q/{JOB}", JOB_BODY).status_code == 200
     assert system.call("POST", f"/q/{JOB}", JOB_BODY).status_code == 200
     assert system.call("GET", f"/q/{JOB}").json == {"state": "pending"}
     assert system.call("GET", "/q/").json == {"pending": 1}
     assert system.call("DELETE", f"/q/{JOB}").status_code == 200
     assert system.call("GET", f"/q/{JOB}").json == {"state": "cancelled"}
+    assert system.call("DELETE", f"/q/{JOB}").status_code == 200
+
+
+# Guards against a job that is started after its caller was told that it does not exist,
+# and against a caller that can never hand it in anew.
+def test_a_job_that_was_cancelled_before_it_was_known(system, monkeypatch):
+    assert system.call("DELETE", f"/q/{JOB}").status_code == 410
+    answer = system.call("POST", f"/q/{JOB}", JOB_BODY)
+    assert (answer.status_code, answer.json["code"]) == (410, "job_cancelled")
+    assert system.call("GET", f"/q/{JOB}").status_code == 410
+    monkeypatch.setattr(knownindex, "MAX_UNREAD_SECONDS", 0.0)
+    system.known_index.refresh()
+    assert system.call("POST", f"/q/{JOB}", JOB_BODY).status_code == 200
+    assert system.call("GET", f"/q/{JOB}").json == {"state": "pending"}
 
 
 def test_unknown_queue_is_not_found(system):
