The leader's work for many light tasks on one minion is linear

Each reply to an order lets the agent pass over all runs of its minion, and StartRuns looked through the tasks of a step, for one that waits, once for each task that it starts.

Change: after a pass of over 1 ms the agent pauses for four times as long, so passes take a fifth of the processor at most. StartRuns updates the index of ready steps once for each step; the resulting state is the same, so replicas of both versions agree.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agent.py
@@ -61,6 +61,12 @@
 #: is unknown are checked again, in seconds.
 RETRY_SECONDS = 0.25
 
+#: Shortest pass over the runs of a minion after which the agent pauses, in seconds, and
+#: that pause as a multiple of the pass. Each reply to an order asks for a pass; with
+#: thousands of runs the passes alone would take all of the leader's processor time.
+LONG_PASS_SECONDS = 0.001
+PAUSE_PER_PASS = 4
+
 #: How long a minion that refused a start gets no new runs, in seconds.
 PLACEMENT_PAUSE_SECONDS = 0.5
 
@@ -230,13 +236,21 @@
     def keep_reconciling(self):
         """Reconcile the minion with the recorded runs until it is gone."""
         while not self.is_gone:
-            self.adopt_records()
-            for view in list(self.view_by_task.values()):
-                self.order_if_due(view)
+            began = lease_seconds()
+            self.reconcile()
             self.status_poller.wake.set()
+            pass_seconds = lease_seconds() - began
+            if pass_seconds > LONG_PASS_SECONDS:
+                gevent.sleep(PAUSE_PER_PASS * pass_seconds)
             self.wake.wait(self.next_check_seconds())
             self.wake.clear()
 
+    def reconcile(self):
+        """Adopt the recorded runs, and spawn the orders that they need now."""
+        self.adopt_records()
+        for view in list(self.view_by_task.values()):
+            self.order_if_due(view)
+
     def next_check_seconds(self):
         """Return the timeout of the wait for a wake-up in seconds, or None."""
         unsettled = any(
--- a/hingepitch/jobs/rule.py
+++ b/hingepitch/jobs/rule.py
@@ -149,36 +149,38 @@
 @apply_command.register
 def _(command: commands.StartRuns, state, envelope, index):
     table = state.jobs
+    started_steps = {}
     for start in command.starts:
         if not start_rejection(table, start):
             number = table.task(start.task).run + 1
             table.start_run(start, number, command.at_ms)
+            started_steps[start.task[:3]] = None
     for gang in command.gangs:
-        start_gang(table, gang, command.at_ms)
+        if start_gang(table, gang, command.at_ms):
+            started_steps[gang[0].task[:3]] = None
+    table.index_steps(started_steps)
 
 
 def start_gang(table, gang, at_ms):
-    """Start all members of a gang with the same run number, or none."""
+    """Start all members of a gang with the same run number; return whether it fits."""
     if any(start_rejection(table, start) for start in gang):
-        return
+        return False
     number = 1 + max(table.task(start.task).run for start in gang)
     started = []
     for start in gang:
         if start_rejection(table, start):
-            break
+            undo_gang(table, started)
+            return False
         table.start_run(start, number, at_ms)
         started.append(start)
-    if len(started) < len(gang):
-        undo_gang(table, started, number)
+    return True
 
 
-def undo_gang(table, started, number):
+def undo_gang(table, started):
     """Undo the starts of a gang that does not fit as a whole."""
     for start in started:
         table.drop_run(table.run_by_task[start.task])
         table.task(start.task).status = TaskStatus.WAITING
-        job = table.job_by_id[start.task.job]
-        table.index_step(job, start.task.round, start.task.step)
 
 
 def start_rejection(table, start):
--- a/hingepitch/jobs/table.py
+++ b/hingepitch/jobs/table.py
@@ -177,6 +177,11 @@
         for step in range(len(job.spec.steps)):
             self.index_step(job, number, step)
 
+    def index_steps(self, step_keys):
+        """Update the index of ready steps for steps of jobs that are kept."""
+        for job_id, number, step in step_keys:
+            self.index_step(self.job_by_id[job_id], number, step)
+
     def index_step(self, job, number, step):
         """Update the index of ready steps for one step of a round."""
         key = (job.id, number, step)
@@ -284,7 +289,10 @@
             del self.run_counts_by_step[step]
 
     def start_run(self, start, number, at_ms):
-        """Record a new run of a task, which its minion has not begun yet."""
+        """Record a new run of a task, which its minion has not begun yet.
+
+        The caller updates the index of ready steps, once for all runs of a step.
+        """
         job = self.job_by_id[start.task.job]
         step = job.spec.steps[start.task.step]
         task = self.task(start.task)
@@ -303,7 +311,6 @@
                 account=job.account,
             )
         )
-        self.index_step(job, start.task.round, start.task.step)
 
     def end_run(self, end, at_ms):
         """Record the end of a run; ignore a run that is not recorded."""
