Move the parts of an agent to hingepitch.jobs.agents

Agents, their registry, orders and replies, poller, views, renewals, clock offset and reply times were beside 60 other modules. Paths and imports change, nothing else.

--- a/hingepitch/jobs/agent.py
+++ b/hingepitch/jobs/agents/agent.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.agent
-~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.agents.agent
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The leader's agent for one minion: its connection, its lease and its runs.
 
@@ -16,23 +16,23 @@
 from gevent.lock import BoundedSemaphore
 
 from hingepitch.clock import lease_seconds
-from hingepitch.jobs.cause import EndCause
-from hingepitch.jobs.command import RunEnd
-from hingepitch.jobs.contact import (
+from hingepitch.jobs.agents.contact import (
     REFUSALS,
     PaceOrder,
     Reply,
     ReplyKind,
     StopOrder,
 )
+from hingepitch.jobs.agents.offset import ClockOffset
+from hingepitch.jobs.agents.poller import UNCONFIRMED_SECONDS, StatusPoller
+from hingepitch.jobs.agents.renewal import RenewalHistory
+from hingepitch.jobs.agents.replytime import ReplyTime
+from hingepitch.jobs.agents.runview import RunView, RunViewStatus
+from hingepitch.jobs.cause import EndCause
+from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.crashes.blame import is_stable, is_starting
 from hingepitch.jobs.crashes.health import MinionHealth
-from hingepitch.jobs.offset import ClockOffset
-from hingepitch.jobs.poller import UNCONFIRMED_SECONDS, StatusPoller
 from hingepitch.jobs.record import RunResult, is_same_birth
-from hingepitch.jobs.renewal import RenewalHistory
-from hingepitch.jobs.replytime import ReplyTime
-from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.jobs.warmth import WARM
 from hingepitch.log import log_event
 
--- a/hingepitch/jobs/agentregistry.py
+++ b/hingepitch/jobs/agents/agentregistry.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.agentregistry
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.agents.agentregistry
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Registry of the agents of one leadership: one for each incarnation of a minion
 whose address can be called.
@@ -12,10 +12,10 @@
 import gevent
 
 from hingepitch.clock import lease_seconds
-from hingepitch.jobs.agent import Agent
-from hingepitch.jobs.contact import PollOrder, PollResult, Reply, ReplyKind
+from hingepitch.jobs.agents.agent import Agent
+from hingepitch.jobs.agents.contact import PollOrder, PollResult, Reply, ReplyKind
+from hingepitch.jobs.agents.replytime import MAX_TIMEOUT_SECONDS
 from hingepitch.jobs.record import is_same_birth
-from hingepitch.jobs.replytime import MAX_TIMEOUT_SECONDS
 from hingepitch.jobs.warmth import WARM
 from hingepitch.log import log_event
 
--- a/hingepitch/jobs/contact.py
+++ b/hingepitch/jobs/agents/contact.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.contact
-~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.agents.contact
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Orders from the dispatcher to a minion and the minion's replies. The composition
 root supplies the client that sends them.
--- a/hingepitch/jobs/offset.py
+++ b/hingepitch/jobs/agents/offset.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.offset
-~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.agents.offset
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Estimate of the offset between a minion's monotonic clock and the leader's.
 
--- a/hingepitch/jobs/poller.py
+++ b/hingepitch/jobs/agents/poller.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.poller
-~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.agents.poller
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Status polls of one minion: each lists the runs that go on and those that ended,
 and renews the minion's lease.
@@ -16,17 +16,17 @@
 from gevent.lock import BoundedSemaphore
 
 from hingepitch.clock import lease_seconds
-from hingepitch.jobs.cause import EndCause
-from hingepitch.jobs.command import RunEnd
-from hingepitch.jobs.contact import (
+from hingepitch.jobs.agents.contact import (
     PollOrder,
     PollResult,
     Reply,
     ReplyKind,
     RunEvidence,
 )
+from hingepitch.jobs.agents.runview import UNLISTED_STATUSES, RunViewStatus
+from hingepitch.jobs.cause import EndCause
+from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.record import RunResult
-from hingepitch.jobs.runview import UNLISTED_STATUSES, RunViewStatus
 from hingepitch.log import log_event
 
 __all__ = ["UNCONFIRMED_SECONDS", "StatusPoller"]
--- a/hingepitch/jobs/renewal.py
+++ b/hingepitch/jobs/agents/renewal.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.renewal
-~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.agents.renewal
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 History of the lease renewals of one minion: used to renew the lease in time and
 to log why it expired.
--- a/hingepitch/jobs/replytime.py
+++ b/hingepitch/jobs/agents/replytime.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.replytime
-~~~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.agents.replytime
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Adaptive reply timeout of one minion, estimated from its recent reply times.
 
--- a/hingepitch/jobs/runview.py
+++ b/hingepitch/jobs/agents/runview.py
@@ -1,6 +1,6 @@
 """
-hingepitch.jobs.runview
-~~~~~~~~~~~~~~~~~~~~~~~
+hingepitch.jobs.agents.runview
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The state of one run as the agent of its minion knows it.
 
--- a/hingepitch/jobs/crashes/blame.py
+++ b/hingepitch/jobs/crashes/blame.py
@@ -8,9 +8,9 @@
 :license: BSD, see LICENSE for details.
 """
 
+from hingepitch.jobs.agents.runview import RunViewStatus
 from hingepitch.jobs.crashes.crash import NO_BLAME, Blame, Suspicion
 from hingepitch.jobs.record import JobStatus
-from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.spec import format_task
 from hingepitch.log import log_event
 
--- a/hingepitch/jobs/gauge.py
+++ b/hingepitch/jobs/gauge.py
@@ -13,11 +13,11 @@
 
 from hingepitch.clock import wall_ms
 from hingepitch.jobs.accounts.ledger import AccountLedger
+from hingepitch.jobs.agents.runview import RunViewStatus
 from hingepitch.jobs.crashes.crash import CrashRegistry
 from hingepitch.jobs.halls.hallstatus import HallRow
 from hingepitch.jobs.queuemeter import QueueCounts, QueueMeter
 from hingepitch.jobs.record import JobStatus, TaskStatus
-from hingepitch.jobs.runview import RunViewStatus
 
 __all__ = ["DispatchGauge"]
 
--- a/hingepitch/jobs/loadreport.py
+++ b/hingepitch/jobs/loadreport.py
@@ -14,7 +14,7 @@
 import gevent
 
 from hingepitch.clock import lease_seconds, wall_ms
-from hingepitch.jobs.contact import ReplyKind
+from hingepitch.jobs.agents.contact import ReplyKind
 from hingepitch.jobs.halls.hallstatus import measure_halls
 from hingepitch.log import log_event
 from hingepitch.loopdelay import LoopDelay
--- a/hingepitch/jobs/session.py
+++ b/hingepitch/jobs/session.py
@@ -15,13 +15,14 @@
 from hingepitch.clock import lease_seconds, wall_ms
 from hingepitch.error import HingepitchError
 from hingepitch.jobs.admission import AdmissionController
-from hingepitch.jobs.agentregistry import AgentRegistry
+from hingepitch.jobs.agents.agentregistry import AgentRegistry
+from hingepitch.jobs.agents.contact import StartOrder
+from hingepitch.jobs.agents.runview import RunViewStatus
 from hingepitch.jobs.beginning import BeginningTracker
 from hingepitch.jobs.command import (
     RemoveMinion,
     SuspectLife,
 )
-from hingepitch.jobs.contact import StartOrder
 from hingepitch.jobs.crashes.blame import (
     blame_of,
     log_abandoned_jobs,
@@ -39,7 +40,6 @@
 from hingepitch.jobs.mover import MoveController
 from hingepitch.jobs.permission import PermissionController
 from hingepitch.jobs.restart import RestartBackoff
-from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.spec import format_task
 from hingepitch.jobs.startplanner import StartPlanner
 from hingepitch.jobs.tombstone import TombstoneAger
--- a/hingepitch/jobs/watch.py
+++ b/hingepitch/jobs/watch.py
@@ -10,10 +10,10 @@
 """
 
 from hingepitch.clock import lease_seconds, wall_ms
+from hingepitch.jobs.agents.runview import RunViewStatus
 from hingepitch.jobs.crashes.health import is_stalled
 from hingepitch.jobs.pace import ServingTask, next_percent
 from hingepitch.jobs.record import RunResult
-from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.spec import format_task
 from hingepitch.log import log_event
 
--- a/standin/cordon_faults.py
+++ b/standin/cordon_faults.py
@@ -18,7 +18,7 @@
         "a start is sent again after the cordon",
         (
             (
-                "jobs/agent.py",
+                "jobs/agents/agent.py",
                 "            and self.minion.hall not in self.session.table.cordons\n",
                 "",
             ),
--- a/standin/delay_faults.py
+++ b/standin/delay_faults.py
@@ -19,7 +19,7 @@
         "a run is taken for lost while its end waits behind the listed ones",
         (
             (
-                "jobs/poller.py",
+                "jobs/agents/poller.py",
                 "if result.unlisted_evidence is not RunEvidence.ABSENT:",
                 "if result.unread_running:",
             ),
--- a/standin/faults.py
+++ b/standin/faults.py
@@ -275,7 +275,7 @@
         "a start without a reply counts as refused",
         (
             (
-                "jobs/agent.py",
+                "jobs/agents/agent.py",
                 "elif reply.kind in (ReplyKind.UNSURE, ReplyKind.RUN_TOO_OLD):",
                 "elif reply.kind is ReplyKind.RUN_TOO_OLD:",
             ),
@@ -287,7 +287,7 @@
         "a refusal of one of two start orders settles the start",
         (
             (
-                "jobs/agent.py",
+                "jobs/agents/agent.py",
                 "if call.get().kind in SETTLING_KINDS:",
                 "if call.get().kind is not ReplyKind.UNSURE:",
             ),
@@ -299,7 +299,7 @@
         "a start is ordered again although its job was cancelled",
         (
             (
-                "jobs/agent.py",
+                "jobs/agents/agent.py",
                 "            and self.session.is_wanted(view.run)\n"
                 "            and not self.minion.is_draining",
                 "",
@@ -334,7 +334,13 @@
     Fault(
         "jobs",
         "the list of an earlier poll overrides that of a later one",
-        (("jobs/poller.py", "is_news = sent_at >= self.polled_at", "is_news = True"),),
+        (
+            (
+                "jobs/agents/poller.py",
+                "is_news = sent_at >= self.polled_at",
+                "is_news = True",
+            ),
+        ),
         "sent_earlier_tells_ends_only",
     ),
     Fault(
@@ -347,7 +353,7 @@
                 "return RunViewStatus.RUNNING",
             ),
             (
-                "jobs/poller.py",
+                "jobs/agents/poller.py",
                 "elif view.status is RunViewStatus.RUNNING and sent_at > "
                 "view.answered_at:",
                 "elif False:",
@@ -366,7 +372,7 @@
         "one lost status poll lets the lease expire",
         (
             (
-                "jobs/poller.py",
+                "jobs/agents/poller.py",
                 "MAX_WAIT_LEASE_FRACTION = 1 / 4",
                 "MAX_WAIT_LEASE_FRACTION = 1 / 2",
             ),
@@ -378,7 +384,7 @@
         "a heartbeat that is read late shortens the next leases",
         (
             (
-                "jobs/offset.py",
+                "jobs/agents/offset.py",
                 "if known_ms is None or is_wrong or offset_ms >= known_ms:",
                 "if True:",
             ),
@@ -390,7 +396,7 @@
         "a stop in progress keeps a run whose lease has expired",
         (
             (
-                "jobs/poller.py",
+                "jobs/agents/poller.py",
                 "if view.status in UNSETTLED_STARTS:\n                kept",
                 "if view.is_ordering:\n                kept",
             ),
@@ -402,7 +408,7 @@
         "a minion with an address that cannot be called ends the session",
         (
             (
-                "jobs/agentregistry.py",
+                "jobs/agents/agentregistry.py",
                 "except ValueError as error:",
                 "except OSError as error:",
             ),
@@ -426,7 +432,7 @@
         "a refusal proves the presence of an earlier incarnation at the address",
         (
             (
-                "jobs/agentregistry.py",
+                "jobs/agents/agentregistry.py",
                 "(ReplyKind.DONE, ReplyKind.FENCED)",
                 "(ReplyKind.DONE, ReplyKind.UNHEALTHY)",
             ),
@@ -456,7 +462,7 @@
         "any refusal settles a start that was ordered twice",
         (
             (
-                "jobs/agent.py",
+                "jobs/agents/agent.py",
                 "(ReplyKind.DONE, ReplyKind.OTHER_LIFE, ReplyKind.FENCED)",
                 "set(ReplyKind) - {ReplyKind.UNSURE}",
             ),
@@ -468,7 +474,7 @@
         "a run that a poll does not list is ended without a stop",
         (
             (
-                "jobs/poller.py",
+                "jobs/agents/poller.py",
                 "                view.status = RunViewStatus.UNSURE\n"
                 "            elif view.status is RunViewStatus.RUNNING",
                 "                self.agent.end(view, RunResult.LOST, "
@@ -541,7 +547,7 @@
         "a delayed stop is sent without another budget check",
         (
             (
-                "jobs/agent.py",
+                "jobs/agents/agent.py",
                 "if self.session.watch.exceeds_budget(view.run):",
                 "if False:",
             ),
@@ -594,7 +600,7 @@
         "orders busy-loop while the leadership is not confirmed",
         (
             (
-                "jobs/agent.py",
+                "jobs/agents/agent.py",
                 """                else:
                     gevent.sleep(UNCONFIRMED_SECONDS)""",
                 "",
--- a/standin/incarnation_faults.py
+++ b/standin/incarnation_faults.py
@@ -24,7 +24,7 @@
         "a new incarnation is told to forget the ends up to an earlier one's",
         (
             (
-                "jobs/poller.py",
+                "jobs/agents/poller.py",
                 "return self.ends_recorded if is_due and",
                 "return self.ends_recorded if True or",
             ),
@@ -34,7 +34,13 @@
     Fault(
         "at_most_once",
         "a delayed heartbeat of an earlier incarnation passes the probe",
-        (("jobs/agentregistry.py", "return is_same and result", "return result"),),
+        (
+            (
+                "jobs/agents/agentregistry.py",
+                "return is_same and result",
+                "return result",
+            ),
+        ),
         "late_heartbeat_of_the_incarnation_before",
     ),
     Fault(
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -8,6 +8,7 @@
 import random
 
 from hingepitch.jobs import command as commands
+from hingepitch.jobs.agents.runview import RunView, RunViewStatus
 from hingepitch.jobs.command import RunEnd
 from hingepitch.jobs.crashes.blame import (
     blame_of,
@@ -23,7 +24,6 @@
 )
 from hingepitch.jobs.plan import PlanContext, plan_starts
 from hingepitch.jobs.record import JobStatus, RunResult
-from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.jobs.spec import Step
 from tests.test_job_rules import Log, make_config, make_minion
 
--- a/tests/leased_minion.py
+++ b/tests/leased_minion.py
@@ -5,7 +5,7 @@
 import gevent
 from gevent.event import Event
 
-from hingepitch.jobs.contact import PollResult, Reply, ReplyKind, RunningRow
+from hingepitch.jobs.agents.contact import PollResult, Reply, ReplyKind, RunningRow
 from hingepitch.jobs.record import RunResult
 from tests.memory_minion import MemoryMinion
 
--- a/tests/lossy_minion.py
+++ b/tests/lossy_minion.py
@@ -16,7 +16,7 @@
 from adapter.minion import HttpMinion
 from adapter.wire import decode_heartbeat
 from hingepitch.clock import lease_seconds
-from hingepitch.jobs.contact import EndedRun, PollResult, Reply, ReplyKind
+from hingepitch.jobs.agents.contact import EndedRun, PollResult, Reply, ReplyKind
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.spec import format_task
 from hingepitch.request import Answer
--- a/tests/memory_minion.py
+++ b/tests/memory_minion.py
@@ -10,7 +10,13 @@
 import gevent
 from gevent.event import Event
 
-from hingepitch.jobs.contact import EndedRun, PollResult, Reply, ReplyKind, RunningRow
+from hingepitch.jobs.agents.contact import (
+    EndedRun,
+    PollResult,
+    Reply,
+    ReplyKind,
+    RunningRow,
+)
 from hingepitch.jobs.record import RunResult
 
 LIFE_NUMBERS = itertools.count(1)
--- a/tests/test_cold_runs.py
+++ b/tests/test_cold_runs.py
@@ -5,13 +5,13 @@
 import pytest
 
 from hingepitch.httpd import wait_until
+from hingepitch.jobs.agents.runview import RunView, RunViewStatus
 from hingepitch.jobs.crashes.health import (
     GANG_STALL_SECONDS,
     STALL_SECONDS,
     MinionHealth,
 )
 from hingepitch.jobs.record import JobStatus, RunResult
-from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.warmth import WARM
 from hingepitch.jobs.watch import RunWatch
--- a/tests/test_cordoned_starts.py
+++ b/tests/test_cordoned_starts.py
@@ -5,9 +5,9 @@
 
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
-from hingepitch.jobs.contact import Reply, ReplyKind
+from hingepitch.jobs.agents.contact import Reply, ReplyKind
+from hingepitch.jobs.agents.runview import RunViewStatus
 from hingepitch.jobs.record import JobStatus
-from hingepitch.jobs.runview import RunViewStatus
 from hingepitch.jobs.spec import Step
 from tests.memory_minion import MemoryMinion
 from tests.test_dispatch import SECONDS, DispatchHarness
--- a/tests/test_delayed_heartbeats.py
+++ b/tests/test_delayed_heartbeats.py
@@ -12,7 +12,7 @@
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
-from hingepitch.jobs.contact import ReplyKind
+from hingepitch.jobs.agents.contact import ReplyKind
 from hingepitch.jobs.fleet import FleetReply
 from hingepitch.jobs.question import NoteBeat
 from hingepitch.jobs.record import UpkeepStage
--- a/tests/test_earlier_incarnation.py
+++ b/tests/test_earlier_incarnation.py
@@ -13,8 +13,8 @@
 
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
+from hingepitch.jobs.agents.contact import PollResult, Reply, ReplyKind
 from hingepitch.jobs.command import RemoveMinion, SuspectLife
-from hingepitch.jobs.contact import PollResult, Reply, ReplyKind
 from hingepitch.jobs.question import NoteBeat
 from hingepitch.jobs.service import JobService
 from hingepitch.jobs.spec import Step
--- a/tests/test_hall_drain.py
+++ b/tests/test_hall_drain.py
@@ -4,9 +4,9 @@
 
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
+from hingepitch.jobs.agents.runview import RunView, RunViewStatus
 from hingepitch.jobs.explain import explain_queued_job
 from hingepitch.jobs.record import JobStatus
-from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.watch import UPKEEP_REASON
 from standin.taskminion import TaskMinion
--- a/tests/test_lasting_leases.py
+++ b/tests/test_lasting_leases.py
@@ -14,14 +14,14 @@
 
 from adapter.settings import LEASE_SECONDS as PLATFORM_LEASE_SECONDS
 from hingepitch.httpd import wait_until
-from hingepitch.jobs.contact import Reply, ReplyKind
-from hingepitch.jobs.poller import (
+from hingepitch.jobs.agents.contact import Reply, ReplyKind
+from hingepitch.jobs.agents.poller import (
     MAX_WAIT_LEASE_FRACTION,
     POLL_TIMEOUT_MARGIN_SECONDS,
     RETRY_SECONDS,
 )
+from hingepitch.jobs.agents.replytime import MAX_TIMEOUT_SECONDS
 from hingepitch.jobs.record import RunResult
-from hingepitch.jobs.replytime import MAX_TIMEOUT_SECONDS
 from hingepitch.jobs.session import POLL_PAUSE_SECONDS
 from hingepitch.jobs.spec import Step
 from tests.leased_minion import LeasedMinion
--- a/tests/test_load_lost_answers.py
+++ b/tests/test_load_lost_answers.py
@@ -11,15 +11,15 @@
 import pytest
 
 from hingepitch.httpd import wait_until
-from hingepitch.jobs.contact import PollResult, ReplyKind, RunningRow
-from hingepitch.jobs.poller import StatusPoller
-from hingepitch.jobs.record import JobStatus
-from hingepitch.jobs.replytime import (
+from hingepitch.jobs.agents.contact import PollResult, ReplyKind, RunningRow
+from hingepitch.jobs.agents.poller import StatusPoller
+from hingepitch.jobs.agents.replytime import (
     MAX_TIMEOUT_SECONDS,
     MIN_TIMEOUT_SECONDS,
     ReplyTime,
 )
-from hingepitch.jobs.runview import RunViewStatus
+from hingepitch.jobs.agents.runview import RunViewStatus
+from hingepitch.jobs.record import JobStatus
 from hingepitch.jobs.spec import Step
 from tests.memory_minion import MemoryMinion
 from tests.test_dispatch import SECONDS, TERMS, DispatchHarness
--- a/tests/test_load_report.py
+++ b/tests/test_load_report.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hingepitch.jobs import command as commands, loadreport as loadreport_module
-from hingepitch.jobs.contact import Reply, ReplyKind
+from hingepitch.jobs.agents.contact import Reply, ReplyKind
 from hingepitch.jobs.duration import Durations
 from hingepitch.jobs.gauge import MAX_SHOWN_QUEUES, DispatchGauge
 from hingepitch.jobs.loadreport import LoadReporter
--- a/tests/test_load_wave.py
+++ b/tests/test_load_wave.py
@@ -13,10 +13,10 @@
 
 from hingepitch.clock import lease_seconds
 from hingepitch.jobs import command as commands
-from hingepitch.jobs.contact import RunningRow
+from hingepitch.jobs.agents.contact import RunningRow
+from hingepitch.jobs.agents.runview import RunView, RunViewStatus
 from hingepitch.jobs.plan import PlanContext, plan_starts
 from hingepitch.jobs.record import UpkeepStage
-from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.jobs.spec import Step
 from hingepitch.jobs.upkeep import UpkeepController
 from hingepitch.jobs.watch import WARMING_POLL_MS, WARMING_SECONDS, RunWatch
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -19,7 +19,7 @@
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
-from hingepitch.jobs.contact import ReplyKind
+from hingepitch.jobs.agents.contact import ReplyKind
 from hingepitch.jobs.record import JobStatus
 from hingepitch.jobs.spec import Step
 from hingepitch.peerregistry import decode_members
--- a/tests/test_metric.py
+++ b/tests/test_metric.py
@@ -8,9 +8,9 @@
 from types import SimpleNamespace
 
 from hingepitch.jobs import command as commands
+from hingepitch.jobs.agents.runview import RunView, RunViewStatus
 from hingepitch.jobs.crashes.health import MinionHealth
 from hingepitch.jobs.gauge import DispatchGauge
-from hingepitch.jobs.runview import RunView, RunViewStatus
 from hingepitch.jobs.spec import Step
 from hingepitch.metric import Metrics
 from tests.test_job_rules import Log, make_config, make_minion, task
--- a/tests/test_offset.py
+++ b/tests/test_offset.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hingepitch.jobs.offset import ClockOffset
+from hingepitch.jobs.agents.offset import ClockOffset
 
 DRIFT = 0.021
 AHEAD_MS = 5_000_000
--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hingepitch.jobs.renewal import RenewalHistory
+from hingepitch.jobs.agents.renewal import RenewalHistory
 
 LEASE_MS = 4000
 
--- a/tests/test_restart_same_id.py
+++ b/tests/test_restart_same_id.py
@@ -12,8 +12,8 @@
 from hingepitch.clock import lease_seconds
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
-from hingepitch.jobs.contact import ReplyKind
-from hingepitch.jobs.offset import ClockOffset
+from hingepitch.jobs.agents.contact import ReplyKind
+from hingepitch.jobs.agents.offset import ClockOffset
 from hingepitch.jobs.permission import Permission
 from hingepitch.jobs.question import NoteLeaving
 from hingepitch.jobs.record import JobStatus
--- a/tests/test_silent_minion.py
+++ b/tests/test_silent_minion.py
@@ -20,7 +20,7 @@
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import command as commands
-from hingepitch.jobs.contact import PollResult, Reply, ReplyKind
+from hingepitch.jobs.agents.contact import PollResult, Reply, ReplyKind
 from hingepitch.jobs.record import RunResult
 from hingepitch.jobs.spec import Step
 from hingepitch.request import Execution, Failure, Request
--- a/tests/test_unreadable_answers.py
+++ b/tests/test_unreadable_answers.py
@@ -15,7 +15,7 @@
 from adapter.minion import reply_of
 from hingepitch.error import HingepitchError
 from hingepitch.httpd import wait_until
-from hingepitch.jobs.contact import ReplyKind
+from hingepitch.jobs.agents.contact import ReplyKind
 from hingepitch.jobs.fleet import FleetReply
 from hingepitch.planner import platform as planner_platform
 from hingepitch.planner.platform import PlatformClient
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -6,12 +6,12 @@
 from hingepitch.clock import wall_ms
 from hingepitch.httpd import wait_until
 from hingepitch.jobs import (
-    agent as agent_module,
     command as commands,
     session as session_module,
     upkeep as upkeep_module,
     watch as watch_module,
 )
+from hingepitch.jobs.agents import agent as agent_module
 from hingepitch.jobs.fleet import FleetReply, VmList, VmRow, VmState
 from hingepitch.jobs.record import JobStatus, UpkeepStage
 from hingepitch.jobs.spec import Step
--- a/tests/test_waiting_ends.py
+++ b/tests/test_waiting_ends.py
@@ -9,8 +9,8 @@
 from adapter import minion as adapter_minion
 from adapter.minion import HttpMinion
 from hingepitch.httpd import wait_until
-from hingepitch.jobs import poller as poller_module
-from hingepitch.jobs.contact import (
+from hingepitch.jobs.agents import poller as poller_module
+from hingepitch.jobs.agents.contact import (
     EndedRun,
     PollResult,
     Reply,
