--- a/hingepitch/jobs/tombstone.py
+++ b/hingepitch/jobs/tombstone.py
@@ -7,13 +7,13 @@
 A call that hands in a job may be passed on long after its caller has given up and
 cancelled the job elsewhere: any process on its way may be frozen in between. Once a
 cancellation is answered, no call that was made before it may bring the job about. A
-tombstone refuses such calls. Its entry tells how old a call is, by the log index that
-the entry knew before the call arrived. Tombstones are dropped after a while; from then
-on, all calls that may be older than a dropped one are refused.
+tombstone refuses such calls. A call bears the log index that its entry knew before the
+call arrived, which tells whether the call may be older than the cancellation.
+Tombstones are dropped after a while; from then on, all calls that may be older than a
+dropped one are refused.
 
-Neither rule uses a clock of the callers or entries. Age is counted in generations,
-which the leader proposes at intervals, so that a step of its time of day drops no
-tombstone early.
+Neither rule uses a time of day. The age of a tombstone is counted in generations, which
+the leader proposes at intervals of its steady clock.
 
 :copyright: Copyright 2026 by the hingepitch maintainers.
 :license: BSD, see LICENSE for details.
