An agent pauses by the number of runs, not by the time of a pass

A pass that is preempted on a busy machine took long by the clock, and the agent paused for four times as long, also with few runs. It now pauses for 10 us a run from 200 runs on.

--- a/hingepitch/jobs/agents/agent.py
+++ b/hingepitch/jobs/agents/agent.py
@@ -61,11 +61,11 @@
 #: is unknown are checked again, in seconds.
 RETRY_SECONDS = 0.25
 
-#: Shortest pass over the runs of a minion after which the agent pauses, in seconds, and
-#: that pause as a multiple of the pass. Each reply to an order asks for a pass; with
+#: Number of runs of a minion from which on its agent pauses after a pass over them, and
+#: that pause for each run, in seconds. Each reply to an order asks for a pass; with
 #: thousands of runs the passes alone would take all of the leader's processor time.
-LONG_PASS_SECONDS = 0.001
-PAUSE_PER_PASS = 4
+MANY_RUNS = 200
+PAUSE_SECONDS_PER_RUN = 0.000_01
 
 #: How long a minion that refused a start gets no new runs, in seconds.
 PLACEMENT_PAUSE_SECONDS = 0.5
@@ -236,12 +236,11 @@
     def keep_reconciling(self):
         """Reconcile the minion with the recorded runs until it is gone."""
         while not self.is_gone:
-            began = lease_seconds()
             self.reconcile()
             self.status_poller.wake.set()
-            pass_seconds = lease_seconds() - began
-            if pass_seconds > LONG_PASS_SECONDS:
-                gevent.sleep(PAUSE_PER_PASS * pass_seconds)
+            runs = len(self.view_by_task)
+            if runs >= MANY_RUNS:
+                gevent.sleep(runs * PAUSE_SECONDS_PER_RUN)
             self.wake.wait(self.next_check_seconds())
             self.wake.clear()
 
