A failed run of a gang counts as one failure

Cause: each end `failed` of a member counted.

Change: the leader records one failure for each run of a gang; the further ones as `broken`. The log's rules are unchanged, so replicas of two versions agree.

Left: a leader that changes between the ends of two members counts both.

--- a/hingepitch/jobs/endrecorder.py
+++ b/hingepitch/jobs/endrecorder.py
@@ -9,7 +9,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import gevent
 from gevent.event import AsyncResult, Event
@@ -27,6 +27,9 @@
 #: about the time of a sync, for which the log would wait anyway.
 MAX_GATHER_SECONDS = 0.005
 
+#: Limit of the failed runs of gangs that are kept; the oldest are dropped first.
+MAX_FAILED_GANG_RUNS = 4096
+
 
 @dataclass(slots=True)
 class PendingEnds:
@@ -48,11 +51,14 @@
         The `Session` of the leadership.
     `pending`
         The `PendingEnds` that are not proposed yet.
+    `failed_member_by_gang_run`
+        The member whose failure counts, by step and run number of a gang.
     """
 
     def __init__(self, session):
         self.session = session
         self.pending = []
+        self.failed_member_by_gang_run = {}
         self.has_pending = Event()
 
     def record(self, ends, cause):
@@ -78,6 +84,8 @@
     def propose(self, batch):
         """Propose the ends of a batch of `PendingEnds`; tell its callers."""
         at_ms = wall_ms()
+        for waiting in batch:
+            waiting.ends = tuple(map(self.count_gang_once, waiting.ends))
         ends = tuple(end for waiting in batch for end in waiting.ends)
         for end in ends:
             self.note_duration(end, at_ms)
@@ -88,6 +96,23 @@
         for waiting in batch:
             waiting.is_recorded.set(is_committed)
 
+    def count_gang_once(self, end):
+        """Return an end, as `BROKEN` if another member's failure counts already.
+
+        A gang fails as a whole: each of its failed runs counts as one failure, however
+        many members end `FAILED`.
+        """
+        run = self.session.table.run_by_task.get(end.task)
+        step = run and self.session.step_of(run)
+        if end.result is not RunResult.FAILED or not step or not step.gang:
+            return end
+        gang_run = *end.task[:3], end.number
+        member = self.failed_member_by_gang_run.setdefault(gang_run, end.task)
+        if len(self.failed_member_by_gang_run) > MAX_FAILED_GANG_RUNS:
+            oldest = next(iter(self.failed_member_by_gang_run))
+            del self.failed_member_by_gang_run[oldest]
+        return end if member == end.task else replace(end, result=RunResult.BROKEN)
+
     def note_recorded(self, batch, ends, at_ms):
         """Count and log ends that are committed."""
         counts = Counter()
